Share suspicion between balancers, not conviction

Ruled out: a stale list of targets (the target was registered throughout).

Change: a peer's finding keeps new flows away and brings an own check forward; only that one resets. Refused connections and unreachable addresses are told apart, an accepted connection counts as life.

--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -71,9 +71,6 @@
 		if x.departed && x.flows == 0 && now-x.deadAt > departedMemory {
 			f.drop(id, x)
 		}
-		if x.dead && !x.departed && now-x.deadAt > deadMemory && !x.checking {
-			x.dead = false
-		}
 	}
 }
 
--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -15,8 +15,6 @@
 	// quiet is how long a target must not have shown life before repeats count
 	// against it: callers repeat after 200 ms without an acknowledgement.
 	quiet = 150 * time.Millisecond
-	// deadMemory is how long a failed check holds without a new one.
-	deadMemory = 5 * time.Second
 )
 
 // unanswered notes a repeat: the target has not acknowledged for 200 ms.
@@ -63,20 +61,32 @@
 	return t.stalls > 0 && now-f.progress < othersAlive
 }
 
-// Checked takes the outcome of a check. Any answer of the target itself shows
-// life, also one that says it is unhealthy: health answers may be false.
-func (f *Forwarder) Checked(now time.Duration, id TargetID, answered bool) {
+// Finding is the outcome of a check.
+type Finding uint8
+
+// The findings. A target that accepts a connection is there, whatever it says
+// of its health or whether it answers at all: health answers may be false.
+const (
+	Alive       Finding = iota
+	Gone                // nothing listens at its address, or another target does
+	Unreachable         // no answer from its address, which may be the path's fault
+)
+
+// String returns the name in logs.
+func (x Finding) String() string { return [...]string{"alive", "gone", "unreachable"}[x] }
+
+// Checked takes the outcome of this balancer's own check.
+func (f *Forwarder) Checked(now time.Duration, id TargetID, x Finding) {
 	t := f.targets[id]
 	if t == nil {
 		return
 	}
 	t.checking = false
-	if answered {
+	switch {
+	case x == Alive:
 		t.stalls = 0
 		t.dead = false
-		return
-	}
-	if t.progress < t.checked {
+	case x == Gone || t.progress < t.checked:
 		t.dead = true
 		t.deadAt = now
 	}
@@ -84,22 +94,26 @@
 
 // PeerFound takes another balancer's finding that a target failed its check. It
 // reports whether that is news.
+//
+// Failure: a cut between data centres makes targets unreachable from one side.
+// It shows as findings that the other side must not act on, or flows of living
+// targets would be reset. A finding of others keeps new flows away until this
+// balancer's own check, which is due at once.
 func (f *Forwarder) PeerFound(now time.Duration, id TargetID) bool {
 	t := f.targets[id]
-	if t == nil || now-t.progress < quiet {
+	if t == nil || t.dead || t.verify || now-t.progress < quiet || now-t.checked < checkPause {
 		return false
 	}
-	news := !t.dead
-	t.dead = true
-	t.deadAt = now
-	return news
+	t.verify = true
+	t.stalls = max(t.stalls, suspectStalls)
+	return true
 }
 
 // Dead returns the targets that failed this balancer's last check of them.
-func (f *Forwarder) Dead(now time.Duration) []TargetID {
+func (f *Forwarder) Dead() []TargetID {
 	var out []TargetID
 	for id, t := range f.targets {
-		if t.dead && now-t.checked < 2*checkPause {
+		if t.dead {
 			out = append(out, id)
 		}
 	}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,7 +48,6 @@
 	readOK    bool // the last read succeeded
 	readDone  time.Duration
 	fetchBusy bool
-	fetchFrom netip.AddrPort
 	seedTurn  int
 	version   int64 // of the catalogue in force
 	lease     lease
@@ -211,21 +209,20 @@
 	c.edge.counts.checks.Add(1)
 	path := c.edge.healthPath(t.Service)
 	go func() {
-		err := c.checker.Check(ctx, t, path)
-		c.post(func() { c.checked(t, err) })
+		x, err := c.checker.Check(ctx, t, path)
+		c.post(func() { c.checked(t, x, err) })
 	}()
 }
 
-func (c *control) checked(t direct.Target, err error) {
+func (c *control) checked(t direct.Target, x direct.Finding, err error) {
 	now := c.now()
 	c.edge.mu.Lock()
-	c.edge.forward.Checked(now, t.ID, err == nil)
+	c.edge.forward.Checked(now, t.ID, x)
 	c.edge.mu.Unlock()
-	if err != nil {
+	c.log.Info("target checked", zap.String("target", targetName(t.ID)), zap.Stringer("address", t.Addr),
+		zap.Stringer("finding", x), zap.Error(err))
+	if x != direct.Alive {
 		c.edge.counts.checksFailed.Add(1)
-		c.log.Warn("target does not answer", zap.String("target", targetName(t.ID)), zap.Stringer("address", t.Addr), zap.Error(err))
 		c.heartbeat(now)
-		return
 	}
-	c.log.Info("suspected target answers", zap.String("target", targetName(t.ID)), zap.Stringer("address", t.Addr))
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -20,8 +20,7 @@
 
 // metricsServer serves counters and levels.
 type metricsServer struct {
-	srv  *http.Server
-	done chan struct{}
+	srv *http.Server
 }
 
 func serveMetrics(e *Edge) (*metricsServer, error) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -219,7 +219,7 @@
 	defer c.edge.mu.Unlock()
 	for _, id := range h.Dead {
 		if c.edge.forward.PeerFound(now, direct.TargetID(id)) {
-			c.log.Info("target found dead by a peer", zap.String("target", targetName(direct.TargetID(id))), zap.String("peer", h.From))
+			c.log.Info("target suspected by a peer", zap.String("target", targetName(direct.TargetID(id))), zap.String("peer", h.From))
 		}
 	}
 }
@@ -287,7 +287,7 @@
 	if len(c.members) <= smallFleet {
 		h.Loads = peer.Uses(e.forward.Loads(), maxUses)
 	}
-	for _, id := range e.forward.Dead(now) {
+	for _, id := range e.forward.Dead() {
 		h.Dead = append(h.Dead, uint64(id))
 	}
 	e.mu.Unlock()
