Test placing, suspicion and forwarding; take only prompt acknowledgements for life

Cause, found by a test: the last packet of an answer is acknowledged by the next request, so that an idle flow's request looked like a sign of life of a target that had left, was sent there and repeated after 200 ms.

--- /dev/null
+++ b/internal/direct/harness_test.go
@@ -0,0 +1,86 @@
+package direct
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// bench holds a Forwarder and the clock of a test.
+type bench struct {
+	t   *testing.T
+	f   *Forwarder
+	now time.Duration
+}
+
+var (
+	streams = netip.MustParseAddrPort("198.18.0.1:443")  // idempotent requests of service s
+	notes   = netip.MustParseAddrPort("198.18.0.1:8080") // requests that must not run twice
+)
+
+func testCatalogue() *Catalogue {
+	to := []Backend{{"s", 1}}
+	return &Catalogue{
+		Version: 1,
+		Routes: map[netip.AddrPort]Route{
+			streams: {Name: "streams", Address: streams, Backends: to, Kind: Idempotent},
+			notes:   {Name: "notes", Address: notes, Backends: to, Kind: NonIdempotent},
+		},
+		Services:    map[string]Service{"s": {Name: "s", HealthPath: "/health"}},
+		IdleTimeout: 30 * time.Second,
+	}
+}
+
+// newBench returns a forwarder of data centre "a" that knows some targets.
+func newBench(t *testing.T, targets ...Target) *bench {
+	b := &bench{t: t, f: New(Config{DataCenter: "a", FlowMaxAge: time.Minute, MaxFlows: 1000, Seed: 1}), now: time.Second}
+	b.f.SetCatalogue(testCatalogue())
+	b.f.SetCurrent(true)
+	for _, x := range targets {
+		b.f.PutTarget(b.now, x)
+	}
+	return b
+}
+
+func target1(id TargetID, centre string) Target {
+	return Target{ID: id, Service: "s", Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 80), DataCenter: centre, Slots: 2}
+}
+
+// packets of one caller's flow, told apart by its port.
+func packet(port uint16, to netip.AddrPort, flags Flags, cookie Cookie) *Segment {
+	return &Segment{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), port), Address: to, Flags: flags, Cookie: cookie}
+}
+
+func (b *bench) handle(s *Segment) Decision { return b.f.Handle(b.now, s) }
+
+// open opens a flow and sends its first packet, and returns its target.
+func (b *bench) open(port uint16, to netip.AddrPort) TargetID {
+	b.t.Helper()
+	d := b.handle(packet(port, to, SYN, 0))
+	if d.Verb != Forward {
+		b.t.Fatalf("opening: %v", d.Reason)
+	}
+	id := d.Target.ID
+	b.now += 5 * time.Millisecond
+	first := packet(port, to, ACK, id.Cookie())
+	first.Seq, first.Ack = 101, 1000
+	b.handle(first)
+	return id
+}
+
+// ask sends a request of 300 bytes on an open flow; ends is where its data ends.
+func (b *bench) ask(port uint16, to netip.AddrPort, id TargetID, seq, ack uint32) Decision {
+	s := packet(port, to, ACK, id.Cookie())
+	s.Seq, s.Ack, s.Len = seq, ack, 300
+	return b.handle(s)
+}
+
+func (b *bench) want(d Decision, r Reason) {
+	b.t.Helper()
+	if d.Reason != r {
+		b.t.Errorf("decision is %v, want %v", d.Reason, r)
+	}
+}
+
+// state returns what the forwarder knows of a target.
+func (b *bench) state(id TargetID) *target { return b.f.targets[id] }
--- a/internal/direct/observe.go
+++ b/internal/direct/observe.go
@@ -71,8 +71,8 @@
 	if s.Flags.Has(ACK) && after(s.Ack, fl.maxAck) {
 		fl.maxAck = s.Ack
 		fl.pending = false
-		f.alive(now, fl.target)
 		f.idle(fl)
+		f.acknowledged(now, fl.target, s)
 	}
 	end := s.Seq + uint32(s.Len)
 	switch {
@@ -87,6 +87,18 @@
 	}
 }
 
+// acknowledged notes that the caller has got data from the target.
+//
+// Failure: the last packet of an answer is acknowledged by the next request,
+// perhaps seconds later. Taken for a sign of life, it sends that request to a
+// target that has left meanwhile, and the caller repeats it after 200 ms. Only an
+// acknowledgement without data is prompt.
+func (f *Forwarder) acknowledged(now time.Duration, t *target, s *Segment) {
+	if s.Len == 0 {
+		f.alive(now, t)
+	}
+}
+
 // opened notes the first packet after the opening: the target has answered it.
 func (f *Forwarder) opened(now time.Duration, fl *flow, s *Segment) {
 	f.idle(fl)
--- /dev/null
+++ b/internal/direct/suspect_test.go
@@ -0,0 +1,233 @@
+package direct
+
+import (
+	"testing"
+	"time"
+)
+
+// manyTargets is a data centre of n targets and an idle one elsewhere.
+func manyTargets(n int) []Target {
+	out := []Target{target1(100, "b")}
+	for i := range n {
+		out = append(out, target1(TargetID(i+1), "a"))
+	}
+	return out
+}
+
+// live shows life of all targets but one, by answered requests on flows of
+// their own.
+func (b *bench) live(but TargetID) {
+	for id := range b.f.targets {
+		if id != but {
+			s := packet(uint16(2000+id), streams, ACK, id.Cookie())
+			s.Ack = uint32(b.now / time.Millisecond)
+			b.handle(s)
+		}
+	}
+}
+
+// A target loses power while callers wait for it. Two repeats keep new flows
+// away, two checks without an answer reset the waiting callers, who try again
+// elsewhere; a note that may have run is left alone.
+func TestSilentTargetIsFound(t *testing.T) {
+	b := newBench(t, manyTargets(5)...)
+	var waiting []uint16
+	b.live(0)
+	silent := b.open(1, streams)
+	for port := uint16(2); len(waiting) < 3; port++ {
+		if b.open(port, streams) == silent {
+			waiting = append(waiting, port)
+		}
+	}
+	note := uint16(500)
+	for b.open(note, notes) != silent {
+		note++
+	}
+	b.now += 300 * time.Millisecond
+	for _, p := range append(waiting, note) {
+		to := streams
+		if p == note {
+			to = notes
+		}
+		b.ask(p, to, silent, 101, 1000)
+	}
+	b.now += 200 * time.Millisecond
+	b.live(silent)
+	for _, p := range waiting {
+		b.want(b.ask(p, streams, silent, 101, 1000), Forwarded)
+	}
+	if b.state(silent).eligible(b.now) {
+		t.Error("new flows still go to the silent target")
+	}
+	var v Verdict
+	for range confirmChecks {
+		if !b.f.Due() && len(b.f.Suspects(b.now)) == 0 {
+			t.Fatal("the silent target is not checked")
+		}
+		b.f.Suspects(b.now)
+		b.now += 150 * time.Millisecond
+		b.live(silent)
+		v = b.f.Checked(b.now, silent, Unreachable)
+		b.now += confirmPause
+	}
+	if len(v.Resets) != len(waiting) {
+		t.Errorf("%d flows are reset, want the %d that wait", len(v.Resets), len(waiting))
+	}
+	b.want(b.ask(note, notes, silent, 101, 1000), Forwarded)
+}
+
+// A target's machine is reached, but nothing listens: it has crashed, and every
+// flow of it is over.
+func TestRefusedCheckResetsAtOnce(t *testing.T) {
+	b := newBench(t, manyTargets(3)...)
+	id := b.open(1, notes)
+	b.ask(1, notes, id, 101, 1000)
+	v := b.f.Checked(b.now, id, Gone)
+	if len(v.Resets) != 1 || !v.News {
+		t.Errorf("verdict %+v, want one reset and news", v)
+	}
+	if again := b.f.Checked(b.now, id, Gone); len(again.Resets) != 0 || again.News {
+		t.Errorf("second verdict %+v, want nothing new", again)
+	}
+}
+
+// The balancer's own link is choked while it loads a large catalogue: repeats
+// and failed checks on many targets at once. None of their flows may be reset.
+func TestChokedLinkResetsNobody(t *testing.T) {
+	b := newBench(t, manyTargets(6)...)
+	flows := map[uint16]TargetID{}
+	for port := uint16(1); port < 40; port++ {
+		flows[port] = b.open(port, streams)
+	}
+	b.now += 200 * time.Millisecond
+	for range 4 {
+		for p, id := range flows {
+			b.ask(p, streams, id, 101, 1000)
+		}
+		for _, x := range b.f.Suspects(b.now) {
+			if v := b.f.Checked(b.now+150*time.Millisecond, x.ID, Unreachable); len(v.Resets) > 0 {
+				t.Fatalf("flows of target %d are reset", x.ID)
+			}
+		}
+		b.now += 400 * time.Millisecond
+	}
+}
+
+// Targets look dead for a moment, and with no flow left nothing would ever show
+// that they live. New flows must come back by themselves, and a service whose
+// targets are all suspected must serve on.
+func TestSuspicionEndsAndFailsOpen(t *testing.T) {
+	b := newBench(t, target1(1, "a"), target1(2, "a"))
+	for id := TargetID(1); id <= 2; id++ {
+		b.state(id).avoidUntil = b.now + avoidTime
+	}
+	if d := b.handle(packet(1, streams, SYN, 0)); d.Verb != Forward {
+		t.Errorf("opening while all targets are suspected: %v", d.Reason)
+	}
+	b.now += avoidTime
+	if !b.state(1).eligible(b.now) {
+		t.Error("the suspicion does not end")
+	}
+}
+
+// A peer behind a cut finds a target dead that this balancer reaches. Flows go
+// on; only new ones avoid the target until it is checked.
+func TestPeersSuspicionResetsNobody(t *testing.T) {
+	b := newBench(t, manyTargets(3)...)
+	id := b.open(1, streams)
+	b.now += time.Second
+	if !b.f.PeerSuspects(b.now, id) {
+		t.Error("the suspicion is no news")
+	}
+	if b.state(id).eligible(b.now) {
+		t.Error("new flows still go there")
+	}
+	b.want(b.ask(1, streams, id, 101, 1000), Forwarded)
+	if got := b.f.Suspects(b.now); len(got) != 1 {
+		t.Fatalf("%d targets to check, want 1", len(got))
+	}
+	b.f.Checked(b.now+time.Millisecond, id, Alive)
+	if !b.state(id).eligible(b.now) {
+		t.Error("the check's answer does not clear the target")
+	}
+}
+
+// A target whose health answers are false, resets or hang accepts connections:
+// it lives, and its flows go on.
+func TestFalseHealthAnswers(t *testing.T) {
+	b := newBench(t, manyTargets(3)...)
+	id := b.open(1, streams)
+	b.ask(1, streams, id, 101, 1000)
+	b.now += 400 * time.Millisecond
+	b.ask(1, streams, id, 101, 1000)
+	b.f.Suspects(b.now)
+	b.f.Checked(b.now, id, Alive)
+	if !b.state(id).eligible(b.now) {
+		t.Error("the target is avoided")
+	}
+	b.want(b.ask(1, streams, id, 101, 1000), Forwarded)
+}
+
+// Ten of 40 targets crash, and their machines answer openings with resets that
+// no balancer sees. The dead ones look idle, and a caller's three tries end there
+// within 30 ms. Openings that stay unanswered have to give them away.
+func TestCrashedTargetsDrawNoOpenings(t *testing.T) {
+	r := newReplay(3, []int{6, 6, 6}, []int{14, 13, 13})
+	for i, n := range []float64{14, 13, 13} {
+		r.load(i, capacity(40)*0.3*n/40, 5*time.Second)
+	}
+	r.run(2 * time.Second)
+	for i := range 10 {
+		r.targets[i*4].dead = true
+	}
+	r.run(7 * time.Second)
+	t.Log(r)
+	if r.failed > 10 {
+		t.Errorf("%d requests failed in all tries", r.failed)
+	}
+}
+
+// Four of 14 targets lose power at once. Callers who wait for them, and those who
+// come later on flows that are open there, have to be served elsewhere within a
+// second or so.
+func TestDarkTargetsAreLeft(t *testing.T) {
+	r := newReplay(4, []int{3, 2, 2}, []int{5, 5, 4})
+	for i, n := range []float64{5, 5, 4} {
+		r.load(i, capacity(14)*0.45*n/14, 6*time.Second)
+	}
+	r.run(2 * time.Second)
+	for _, i := range []int{0, 5, 6, 10} {
+		r.targets[i].dark = true
+	}
+	r.run(3200 * time.Millisecond)
+	before := r.late
+	r.run(8 * time.Second)
+	t.Log(r)
+	if got := r.late - before; got > r.asked/25 {
+		t.Errorf("%d requests late more than 1.2 s after the loss", got)
+	}
+	if r.failed > 5 {
+		t.Errorf("%d requests failed", r.failed)
+	}
+}
+
+// The longest wait in a queue decides; later ones must not be reported before.
+func TestWaitsComeInOrder(t *testing.T) {
+	var q waits
+	for i := range 100 {
+		q.push(&flow{}, time.Duration(i))
+	}
+	for i := range 50 {
+		w, ok := q.pop(49)
+		if !ok || w.since != time.Duration(i) {
+			t.Fatalf("wait %d: %v %v", i, w.since, ok)
+		}
+	}
+	if _, ok := q.pop(49); ok {
+		t.Error("a wait came too early")
+	}
+	q.push(&flow{}, 100)
+	if w, ok := q.pop(50); !ok || w.since != 50 {
+		t.Errorf("after compaction: %v %v", w.since, ok)
+	}
+}
