Test the platform folder, the copy of the store and the daemon over stand-ins

Stand-ins of the store, of targets that answer callers themselves and of callers, on loopback. An architecture test keeps the platform's names in one folder.

--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -17,7 +17,7 @@
 )
 
 // pure packages decide without sockets, files, clocks and logs.
-var pure = []string{"balance", "catalogue", "converge", "flow", "geneve", "member", "packet", "rendezvous", "router", "wire"}
+var pure = []string{"balance", "catalogue", "converge", "direct", "flow", "geneve", "member", "packet", "rendezvous", "replica", "router", "wire"}
 
 var forbidden = map[string]bool{
 	"net": true, "net/http": true, "os": true, "log": true, "log/slog": true,
@@ -67,6 +67,44 @@
 	return string(b)
 }
 
+// platformNames are spelled by the users' platform. Only its folder and the
+// stand-ins may know them, so that a change of the platform meets one folder.
+var platformNames = []string{"kv-txn", "kv-watch", "kv-range", "kv-lease", "coldLeftMs", "heartbeatIntervalMs", "ROSEDALE_BOOT", "op/config", "servers/", "datagramAddr", "configApplyMs", "Endpoint-Id"}
+
+func TestPlatformIsMetInOneFolder(t *testing.T) {
+	_ = filepath.WalkDir("../..", func(path string, _ os.DirEntry, err error) error {
+		rel := strings.TrimPrefix(path, "../../")
+		known := strings.HasPrefix(rel, "platform/") || strings.HasPrefix(rel, "internal/standin/") || strings.HasPrefix(rel, "internal/architecture/")
+		if err != nil || known || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		text := read(t, path)
+		for _, n := range platformNames {
+			if strings.Contains(text, n) {
+				t.Errorf("%s names the platform's %s", rel, n)
+			}
+		}
+		return nil
+	})
+}
+
+// The platform's folder decodes and calls. It must not import what decides over
+// I/O, nor start goroutines.
+func TestPlatformDecidesNothing(t *testing.T) {
+	files, _ := filepath.Glob("../../platform/*.go")
+	for _, f := range files {
+		if strings.HasSuffix(f, "_test.go") {
+			continue
+		}
+		text := read(t, f)
+		for _, bad := range []string{"internal/edge", "internal/peer", "go func", "time.Sleep("} {
+			if strings.Contains(text, bad) {
+				t.Errorf("%s has %q", f, bad)
+			}
+		}
+	}
+}
+
 // An operator who meets a counter must find what it means.
 func TestEveryCounterIsDocumented(t *testing.T) {
 	page := read(t, "../../docs/operators/counters.md")
--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -24,7 +24,7 @@
 func (f *Forwarder) PutTarget(now time.Duration, t Target) {
 	x := f.targets[t.ID]
 	if x == nil {
-		x = &target{progress: now}
+		x = &target{progress: now, checked: -checkPause}
 		f.targets[t.ID] = x
 		x.Target = t
 		f.claim(x)
--- a/internal/direct/replay_test.go
+++ b/internal/direct/replay_test.go
@@ -86,10 +86,12 @@
 
 type events []event
 
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
 func (e *events) Pop() any {
 	old := *e
 	x := old[len(old)-1]
--- /dev/null
+++ b/internal/edge/harness_test.go
@@ -0,0 +1,223 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"rosedale.dev/rosedale/internal/standin/direct"
+	"rosedale.dev/rosedale/platform"
+)
+
+// deployment is a store, targets, balancers and a caller on loopback.
+type deployment struct {
+	t         *testing.T
+	store     *direct.Store
+	targets   []*direct.Target
+	balancers []*running
+	caller    *direct.Caller
+	dataPort  uint16
+}
+
+// running is a balancer in this process.
+type running struct {
+	boot platform.Boot
+	edge *Edge
+	stop context.CancelFunc
+	done chan error
+	out  *output
+}
+
+// output collects a balancer's log.
+type output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(b)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.String()
+}
+
+var (
+	previews = netip.MustParseAddrPort("198.18.0.1:8443")
+	scans    = netip.MustParseAddrPort("198.18.0.2:8443")
+	newRoute = netip.MustParseAddrPort("198.18.0.3:8443")
+)
+
+// desired is a desired state as the operator writes it.
+func desired(version int, routes ...netip.AddrPort) map[string]any {
+	services := map[netip.AddrPort]string{previews: "catalogue", scans: "scan-store", newRoute: "catalogue"}
+	var list []map[string]any
+	for _, r := range routes {
+		list = append(list, map[string]any{"name": r.String(), "host": r.Addr().String(), "prefix": fmt.Sprintf("/%d/", r.Port()),
+			"type": "safe", "timeoutMs": 2500, "goalMs": 150, "priority": 1, "service": services[r]})
+	}
+	return map[string]any{
+		"version":  version,
+		"routes":   list,
+		"services": []map[string]any{{"name": "catalogue", "healthPath": "/health", "maxConns": 2000}, {"name": "scan-store", "healthPath": "/health", "maxConns": 2000}},
+		"limits":   map[string]any{"idleTimeoutMs": 12000},
+	}
+}
+
+// block gives each test addresses of its own.
+var block struct {
+	sync.Mutex
+	n int
+}
+
+// deploy starts n balancers and two targets of each service.
+func deploy(t *testing.T, n int) *deployment {
+	t.Helper()
+	block.Lock()
+	block.n++
+	net := block.n
+	block.Unlock()
+	d := &deployment{t: t, dataPort: uint16(18000 + net)}
+	var err error
+	if d.store, err = direct.NewStore(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.store.Close)
+	d.store.Put(platform.CatalogueKey, desired(1, previews, scans))
+	for i := range 4 {
+		d.addTarget(uint64(0xa000000001+i), []string{"catalogue", "scan-store"}[i/2])
+	}
+	if d.caller, err = direct.NewCaller(netip.AddrFrom4([4]byte{127, 2, byte(net), 1}), d.dataPort); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.caller.Close)
+	for i := range n {
+		d.start(netip.AddrFrom4([4]byte{127, 1, byte(net), byte(i + 1)}))
+	}
+	for _, b := range d.balancers {
+		d.eventually(5*time.Second, "balancer is ready", b.isReady)
+	}
+	return d
+}
+
+func (d *deployment) addTarget(id uint64, service string) *direct.Target {
+	d.t.Helper()
+	t, err := direct.NewTarget(d.store, id, "127.0.0.1:0", service, "a", d.dataPort)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(t.Stop)
+	d.targets = append(d.targets, t)
+	return t
+}
+
+// start runs a balancer at an address.
+func (d *deployment) start(ip netip.Addr) *running {
+	d.t.Helper()
+	b := &running{out: &output{}, done: make(chan error, 1)}
+	b.boot = platform.Boot{
+		VM: ip.String(), DataCenter: "a",
+		Data: netip.AddrPortFrom(ip, d.dataPort), Ready: netip.AddrPortFrom(ip, 17001), Control: netip.AddrPortFrom(ip, 17002),
+		Store: d.store.Addr, Heartbeat: time.Second, Grace: 4 * time.Second, Drain: 3 * time.Second, Apply: 3 * time.Second,
+		FlowMaxAge: time.Minute, MemoryMB: 100, LinkMbps: 1000,
+	}
+	for _, o := range d.balancers {
+		b.boot.Seeds = append(b.boot.Seeds, o.boot.Control)
+	}
+	log, err := NewLogger(b.out, "info", b.boot)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	b.stop = stop
+	go func() {
+		b.done <- Run(ctx, b.boot, log.Logger)
+		log.Close()
+	}()
+	d.t.Cleanup(func() { b.end(d.t) })
+	d.balancers = append(d.balancers, b)
+	return b
+}
+
+// end stops a balancer as SIGTERM does, and waits for it.
+func (b *running) end(t *testing.T) {
+	b.stop()
+	select {
+	case err := <-b.done:
+		if err != nil {
+			t.Errorf("balancer ended: %v", err)
+		}
+		b.done <- nil
+	case <-time.After(b.boot.Grace):
+		t.Error("balancer did not end within its grace period")
+	}
+}
+
+func (b *running) isReady() bool { return b.status(b.boot.Ready, platform.ReadyPath) == http.StatusOK }
+
+func (b *running) status(a netip.AddrPort, path string) int {
+	resp, err := http.Get("http://" + a.String() + path)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode
+}
+
+func (d *deployment) eventually(within time.Duration, what string, ok func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(within); !ok(); {
+		if time.Now().After(end) {
+			d.t.Fatalf("not within %v: %s", within, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// ask opens a flow through a balancer and returns the name of the target that
+// answered.
+func (d *deployment) ask(b *running, to netip.AddrPort) (string, error) {
+	fl, err := d.caller.Open(to, b.boot.Data)
+	if err != nil {
+		return "", err
+	}
+	defer fl.Close()
+	got, err := fl.Ask("hello", 2*time.Second)
+	return strings.TrimPrefix(got, "hello by "), err
+}
+
+func (d *deployment) mustAsk(b *running, to netip.AddrPort) string {
+	d.t.Helper()
+	name, err := d.ask(b, to)
+	if err != nil {
+		d.t.Fatalf("request to %v: %v", to, err)
+	}
+	return name
+}
+
+// lines returns the log lines with a message.
+func (b *running) lines(t *testing.T, msg string) []map[string]any {
+	t.Helper()
+	var out []map[string]any
+	for _, l := range strings.Split(strings.TrimSpace(b.out.String()), "\n") {
+		var m map[string]any
+		if err := json.Unmarshal([]byte(l), &m); err != nil {
+			t.Fatalf("log line %q: %v", l, err)
+		}
+		if m["msg"] == msg {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -46,6 +46,9 @@
 	return l, nil
 }
 
+// Lost returns the number of lines that were left out.
+func (l *Logger) Lost() uint64 { return l.lost.Load() }
+
 func (l *Logger) sampled(_ zapcore.Entry, d zapcore.SamplingDecision) {
 	if d&zapcore.LogDropped != 0 {
 		l.lost.Add(1)
--- /dev/null
+++ b/internal/edge/log_test.go
@@ -0,0 +1,46 @@
+package edge
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rosedale.dev/rosedale/platform"
+)
+
+// Nobody reads standard output, as its pipe is full. Balancing has to go on: lines
+// are left out and counted, and no call waits.
+func TestLogNeverBlocks(t *testing.T) {
+	r, w := io.Pipe() // nobody reads: the first write waits for ever
+	l, err := NewLogger(w, "info", platform.Boot{VM: "a", DataCenter: "b"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	for i := range 100000 {
+		l.Info("flow", zap.Int("n", i))
+		l.Info("message "+string(rune('a'+i%26)), zap.Int("n", i))
+	}
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("200000 lines took %v", took)
+	}
+	if l.Lost() == 0 {
+		t.Error("no line was counted as lost")
+	}
+	_ = r.Close()
+	l.Close()
+}
+
+func BenchmarkDecisionLine(b *testing.B) {
+	l, err := NewLogger(io.Discard, "info", platform.Boot{VM: "a", DataCenter: "b"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	b.ReportAllocs()
+	for i := range b.N {
+		l.Info("flow", zap.String("caller", "100.64.0.1:1"), zap.String("outcome", "opened_near"), zap.Int("n", i))
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -37,8 +37,6 @@
 	changesPath  = "/changes"
 	// maxChanges bounds an answer in bytes.
 	maxChanges = 16 << 20
-	// maxUses bounds the loads in a heartbeat, which has to fit a datagram.
-	maxUses = 60
 )
 
 // serve answers other balancers that lag.
@@ -324,9 +322,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if c.fleet.Small() {
-		h.Loads = peer.Uses(e.forward.Loads(), maxUses)
+		h.Loads = peer.Uses(e.forward.Loads(), peer.MaxUses)
 	}
 	for _, id := range e.forward.Suspected() {
+		if len(h.Suspected) == peer.MaxSuspected {
+			break
+		}
 		h.Suspected = append(h.Suspected, uint64(id))
 	}
 	return h
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -13,8 +13,15 @@
 	"rosedale.dev/rosedale/internal/direct"
 )
 
-// MaxMessage bounds a heartbeat in bytes: one datagram on any link.
-const MaxMessage = 1200
+// Bounds of a heartbeat, which is one datagram on any link.
+const (
+	// MaxMessage is its length in bytes.
+	MaxMessage = 1200
+	// MaxUses is the number of targets whose loads it holds.
+	MaxUses = 50
+	// MaxSuspected is the number of suspected targets that it holds.
+	MaxSuspected = 40
+)
 
 // Heartbeat says what a balancer knows and what its flows hold.
 type Heartbeat struct {
--- a/internal/peer/pack.go
+++ b/internal/peer/pack.go
@@ -18,7 +18,8 @@
 //
 // Failure: a catalogue of 1,840 routes, 280 KB, is copied to the 24 balancers
 // of a data centre over one reader's link of 10 Mbit/s, which takes 5 s. It shows
-// as packets of flows that wait behind it. Packed it is a tenth as long.
+// as packets of flows that wait behind it. Packed it is 15 KB
+// (TestLargeCatalogueShrinks).
 func Pack(items []replica.Item) ([]byte, error) {
 	b, err := Encode(items)
 	if err != nil {
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,156 @@
+package peer
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"rosedale.dev/rosedale/internal/direct"
+	"rosedale.dev/rosedale/internal/replica"
+)
+
+func member(vm, centre string, wide bool) Member {
+	return Member{VM: vm, DataCenter: centre, Control: netip.MustParseAddrPort("10.0.0.1:1"), Wide: wide}
+}
+
+// fleetOf returns the fleet as self sees it.
+func fleetOf(self Member, all ...Member) *Fleet {
+	f := NewFleet(self)
+	for _, m := range all {
+		f.Put("vm/"+m.VM, m)
+	}
+	return f
+}
+
+func TestRanks(t *testing.T) {
+	all := []Member{member("a1", "a", false), member("a2", "a", true), member("b1", "b", false), member("b2", "b", false)}
+	for _, c := range []struct {
+		self         Member
+		rank, centre int
+		before       []string // who comes before
+	}{
+		{all[1], 0, 0, nil},
+		{all[2], 0, 1, []string{"a2"}},
+		{all[0], 1, 0, []string{"a2", "b1"}},
+		{all[3], 1, 1, []string{"a2", "b1", "a1"}},
+	} {
+		f := fleetOf(c.self, all...)
+		if f.Rank() != c.rank || f.Centre() != c.centre {
+			t.Errorf("%s: rank %d, centre %d", c.self.VM, f.Rank(), f.Centre())
+		}
+		for _, m := range all {
+			want := strings.Contains(fmt.Sprint(c.before), m.VM)
+			if f.Before(m.VM) != want {
+				t.Errorf("%s: before %s is %v", c.self.VM, m.VM, f.Before(m.VM))
+			}
+		}
+	}
+}
+
+// A balancer that is not registered yet, as the store turns it away, reads for
+// itself and counts as the first.
+func TestUnregisteredIsFirst(t *testing.T) {
+	f := NewFleet(member("a1", "a", false))
+	if f.Rank() != 0 || f.Centre() != 0 || f.Before("x") || !f.Small() {
+		t.Error("a lone balancer is not the first")
+	}
+}
+
+func TestSpeakersOfLargeFleet(t *testing.T) {
+	var all []Member
+	for _, c := range []string{"a", "b", "c"} {
+		for i := range 20 {
+			all = append(all, member(fmt.Sprintf("%s%02d", c, i), c, i == 19))
+		}
+	}
+	f := fleetOf(all[0], all...)
+	if f.Small() || len(f.Near()) != 19 || len(f.Far()) != 40 || len(f.Speakers()) != 4 {
+		t.Errorf("small %v, near %d, far %d, speakers %d", f.Small(), len(f.Near()), len(f.Far()), len(f.Speakers()))
+	}
+	if f.Rank() != 1 {
+		t.Errorf("rank %d: a wide link comes first", f.Rank())
+	}
+	f.Remove("vm/a19")
+	if f.Rank() != 0 {
+		t.Errorf("rank %d after the first left", f.Rank())
+	}
+}
+
+func TestHeartbeatFitsADatagram(t *testing.T) {
+	loads := map[direct.TargetID]direct.Load{}
+	for i := range 200 {
+		loads[direct.TargetID(1)<<40+direct.TargetID(i)] = direct.Load{Flows: 1000, Busy: 20}
+	}
+	h := Heartbeat{From: strings.Repeat("x", 40), DataCenter: strings.Repeat("y", 20), Control: netip.MustParseAddrPort("10.200.200.200:65535"),
+		Position: 1 << 40, Age: time.Hour, LastChange: 1 << 40, Reading: true, Loads: Uses(loads, MaxUses), Version: 1 << 40}
+	for i := range MaxSuspected {
+		h.Suspected = append(h.Suspected, 1<<40+uint64(i))
+	}
+	b, err := Encode(h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b) > MaxMessage {
+		t.Errorf("heartbeat of %d bytes, at most %d", len(b), MaxMessage)
+	}
+	var back Heartbeat
+	if err := Decode(b, &back); err != nil || !reflect.DeepEqual(h, back) {
+		t.Errorf("decoded %+v, %v", back, err)
+	}
+}
+
+// A large catalogue must not choke a reader's narrow link when a whole data
+// centre fetches it.
+func TestLargeCatalogueShrinks(t *testing.T) {
+	var b strings.Builder
+	for i := range 1840 {
+		fmt.Fprintf(&b, `{"name":"r-a3h%04d","host":"198.18.%d.%d","prefix":"/8443/","type":"safe","timeoutMs":2500,"goalMs":150,"priority":2,"service":"huvo11a","maxAttempts":2},`, i*7919%10000, i/250, i%250)
+	}
+	items := []replica.Item{{Key: "catalogue", Value: []byte(b.String()), Revision: 9}}
+	packed, err := Pack(items)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d bytes packed to %d", b.Len(), len(packed))
+	if len(packed) > b.Len()/8 {
+		t.Errorf("%d bytes packed to %d only", b.Len(), len(packed))
+	}
+	back, err := Unpack(packed)
+	if err != nil || !reflect.DeepEqual(back, items) {
+		t.Errorf("unpacked differs: %v", err)
+	}
+	if _, err := Unpack(packed[:len(packed)/2]); err == nil {
+		t.Error("half a message was accepted")
+	}
+}
+
+func TestPackerPacksOnce(t *testing.T) {
+	var p Packer
+	items := []replica.Item{{Key: "a", Value: []byte("1"), Revision: 1}}
+	x, _ := p.Pack(true, items, 1)
+	y, _ := p.Pack(true, items, 1)
+	if &x[0] != &y[0] {
+		t.Error("the same items were packed twice")
+	}
+	z, _ := p.Pack(true, append(items, replica.Item{Key: "b", Revision: 2}), 2)
+	if back, _ := Unpack(z); len(back) != 2 {
+		t.Errorf("%d items after a change", len(back))
+	}
+}
+
+func FuzzDecodeHeartbeat(f *testing.F) {
+	b, err := Encode(Heartbeat{From: "a", Loads: []TargetUse{{ID: 1, Flows: 2, Busy: 3}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var h Heartbeat
+		if Decode(b, &h) == nil && len(h.Loads) > len(b) {
+			t.Error("more loads than bytes")
+		}
+	})
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,204 @@
+package replica
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"reflect"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// heartbeats end in "+": they change nothing that matters.
+func significant(_ string, old, new []byte) bool {
+	return !bytes.Equal(bytes.TrimSuffix(old, []byte("+")), bytes.TrimSuffix(new, []byte("+")))
+}
+
+func put(key, value string, rev int64) Item {
+	return Item{Key: key, Value: []byte(value), Revision: rev}
+}
+
+func gone(key string, rev int64) Item { return Item{Key: key, Revision: rev, Deleted: true} }
+
+func TestApplyReturnsWhatMatters(t *testing.T) {
+	r := New(significant)
+	r.Replace([]Item{put("a", "1", 1), put("b", "1", 2)}, 5, 0)
+	for _, c := range []struct {
+		name string
+		item Item
+		want bool
+	}{
+		{"heartbeat", put("a", "1+", 6), false},
+		{"change", put("a", "2", 7), true},
+		{"older change", put("a", "1", 6), false},
+		{"removal", gone("b", 8), true},
+		{"second removal", gone("b", 9), false},
+		{"older write of a removed key", put("b", "1", 7), false},
+		{"key written again", put("b", "1", 10), true},
+		{"removal of an unknown key", gone("x", 11), false},
+	} {
+		if got := len(r.Apply([]Item{c.item}, c.item.Revision, 0)) > 0; got != c.want {
+			t.Errorf("%s: matters %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// The history is gone and everything is listed again. Keys that were removed
+// meanwhile must go, keys that were written while the pages were read must stay.
+func TestReplaceRemovesWhatIsMissing(t *testing.T) {
+	r := New(significant)
+	r.Replace([]Item{put("a", "1", 1), put("b", "1", 2), put("c", "1", 3)}, 5, 0)
+	r.Apply([]Item{put("c", "2", 12)}, 12, 0)
+	out := r.Replace([]Item{put("a", "1", 1)}, 10, 0)
+	if want := []Item{gone("b", 10)}; !reflect.DeepEqual(out, want) {
+		t.Errorf("changes %v, want %v", out, want)
+	}
+	if got := r.All(); len(got) != 2 {
+		t.Errorf("items left: %v", got)
+	}
+	if r.Position() != 12 {
+		t.Errorf("position went back to %d", r.Position())
+	}
+}
+
+// A peer says that nothing after a change matters. A copy that has the change is
+// as good as the peer's; one that lacks it must ask.
+func TestConfirm(t *testing.T) {
+	r := New(significant)
+	if r.Confirm(5, 3, time.Second) {
+		t.Error("an empty copy was confirmed")
+	}
+	r.Replace([]Item{put("a", "1", 3)}, 5, time.Second)
+	if !r.Confirm(20, 3, 2*time.Second) || r.Position() != 20 || r.Age(3*time.Second) != time.Second {
+		t.Errorf("position %d, age %v", r.Position(), r.Age(3*time.Second))
+	}
+	if r.Confirm(30, 25, 4*time.Second) || r.Age(4*time.Second) != 2*time.Second {
+		t.Error("a copy that lacks a change was confirmed")
+	}
+}
+
+func TestSinceAndLog(t *testing.T) {
+	r := New(significant)
+	r.Replace([]Item{put("a", "0", 1)}, 10, 0)
+	if _, ok := r.Since(9); ok {
+		t.Error("changes before the first listing are not known")
+	}
+	for rev := int64(11); rev < 11+3*logLength; rev++ {
+		r.Apply([]Item{put("a", strconv.FormatInt(rev, 10), rev)}, rev, 0)
+	}
+	if _, ok := r.Since(12); ok {
+		t.Error("the log is not bounded")
+	}
+	last := r.Position()
+	if items, ok := r.Since(last - 2); !ok || len(items) != 2 {
+		t.Errorf("%d changes, %v", len(items), ok)
+	}
+}
+
+// Balancers take items from the store and from one another in any order, with
+// repeats and old listings. In the end all copies are alike, and no copy ever
+// goes back to an older write of a key.
+func TestCopiesConverge(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		store := New(significant)
+		store.Replace(nil, 1, 0)
+		a, b := New(significant), New(significant)
+		a.Replace(nil, 1, 0)
+		seen := map[string]int64{}
+		for rev := int64(2); rev < 60; rev++ {
+			key := strconv.Itoa(rng.IntN(5))
+			i := put(key, strconv.Itoa(rng.IntN(3)), rev)
+			if rng.IntN(4) == 0 {
+				i = gone(key, rev)
+			}
+			store.Apply([]Item{i}, rev, 0)
+			step(rng, store, a)
+			step(rng, a, b)
+			for k, x := range b.items {
+				if x.Revision < seen[k] {
+					t.Fatalf("seed %d: key %s went back from %d to %d", seed, k, seen[k], x.Revision)
+				}
+				seen[k] = x.Revision
+			}
+		}
+		take(store, a)
+		take(a, b)
+		if !sameValues(store, b) {
+			t.Fatalf("seed %d: copies differ:\n%v\n%v", seed, store.All(), b.All())
+		}
+	}
+}
+
+func step(rng *rand.Rand, from, to *Replica) {
+	switch rng.IntN(4) {
+	case 0:
+		take(from, to)
+	case 1:
+		to.Replace(from.All(), from.Position(), 0)
+	case 2:
+		to.Confirm(from.Position(), from.LastChange(), 0)
+	}
+}
+
+func take(from, to *Replica) {
+	items, ok := from.Since(to.Position())
+	if !ok || !to.Loaded() {
+		to.Replace(from.All(), from.Position(), 0)
+		return
+	}
+	to.Apply(items, from.Position(), 0)
+}
+
+func sameValues(a, b *Replica) bool {
+	x, y := a.All(), b.All()
+	if len(x) != len(y) {
+		return false
+	}
+	for i := range x {
+		if x[i].Key != y[i].Key || significant("", x[i].Value, y[i].Value) {
+			return false
+		}
+	}
+	return true
+}
+
+func TestReaderTakesOverInOrder(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		place  Place
+		age    time.Duration
+		served bool
+		was    bool
+		want   bool
+	}{
+		{"first of all", Place{}, 0, false, false, true},
+		{"others, fresh copy", Place{Rank: 1}, 400 * time.Millisecond, true, false, false},
+		{"others, slow store", Place{Centre: 1}, 1200 * time.Millisecond, false, false, false},
+		{"first of the second data centre, old copy", Place{Centre: 1}, 1450 * time.Millisecond, false, false, true},
+		{"second in rank waits longer", Place{Rank: 1}, 1450 * time.Millisecond, false, false, false},
+		{"last in rank, old copy", Place{Centre: 9, Rank: 9}, 2500 * time.Millisecond, false, false, true},
+		{"goes on while nobody else reads", Place{Rank: 2}, 100 * time.Millisecond, false, true, true},
+		{"stops when one before it reads", Place{Rank: 2}, 100 * time.Millisecond, true, true, false},
+	} {
+		r := Reader{reading: c.was}
+		if got := r.Decide(c.place, c.age, c.served); got != c.want {
+			t.Errorf("%s: reads %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestFailedReadsSlowDown(t *testing.T) {
+	var r Reader
+	last := time.Duration(0)
+	for range 6 {
+		p := r.Done(false)
+		if p < last || p > MaxReadInterval {
+			t.Errorf("pause %v after %v", p, last)
+		}
+		last = p
+	}
+	if last != MaxReadInterval || r.Done(true) != ReadInterval {
+		t.Errorf("last pause %v", last)
+	}
+}
--- /dev/null
+++ b/internal/standin/direct/caller.go
@@ -0,0 +1,160 @@
+package direct
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Errors of a caller's flow.
+var (
+	ErrReset   = errors.New("flow was reset")
+	ErrTimeout = errors.New("no answer in time")
+)
+
+// Caller is a stand-in caller with many flows.
+type Caller struct {
+	addr netip.Addr
+	udp  *net.UDPConn
+
+	mu    sync.Mutex
+	port  uint16
+	flows map[uint16]*Flow
+}
+
+// Flow is a caller's flow.
+type Flow struct {
+	c    *Caller
+	port uint16
+	to   netip.AddrPort
+	// Via is the balancer that the fabric hands the flow's packets to.
+	Via  netip.AddrPort
+	seq  uint32
+	ack  uint32
+	echo uint32
+	in   chan packetIn
+}
+
+type packetIn struct {
+	h    head
+	body string
+}
+
+// NewCaller listens at addr, at the port at which callers are reached.
+func NewCaller(addr netip.Addr, port uint16) (*Caller, error) {
+	u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(addr, port)))
+	if err != nil {
+		return nil, err
+	}
+	c := &Caller{addr: addr, udp: u, port: 1024, flows: map[uint16]*Flow{}}
+	go c.read()
+	return c, nil
+}
+
+// Close ends the caller.
+func (c *Caller) Close() { _ = c.udp.Close() }
+
+func (c *Caller) read() {
+	buf := make([]byte, 2048)
+	for {
+		n, err := c.udp.Read(buf)
+		if err != nil {
+			return
+		}
+		h, body, ok := parse(buf[:n])
+		if !ok {
+			continue
+		}
+		c.mu.Lock()
+		fl := c.flows[h.dst.Port()]
+		c.mu.Unlock()
+		if fl == nil || fl.to != h.src {
+			continue
+		}
+		select {
+		case fl.in <- packetIn{h, string(body)}:
+		default: // the flow's user has gone
+		}
+	}
+}
+
+// Open opens a flow to a service address through a balancer, with the copies of
+// an opening that the protocol has.
+func (c *Caller) Open(to, via netip.AddrPort) (*Flow, error) {
+	c.mu.Lock()
+	c.port++
+	fl := &Flow{c: c, port: c.port, to: to, Via: via, seq: 100, in: make(chan packetIn, 32)}
+	c.flows[c.port] = fl
+	c.mu.Unlock()
+	for i, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
+		fl.send(head{seq: fl.seq, ack: uint32(i), syn: true}, nil)
+		in, err := fl.next(wait)
+		if errors.Is(err, ErrTimeout) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		fl.seq++
+		fl.ack = in.h.seq + 1
+		fl.echo = in.h.echo
+		fl.send(head{seq: fl.seq, ack: fl.ack, ackOn: true}, nil)
+		return fl, nil
+	}
+	return nil, ErrTimeout
+}
+
+// Ask sends a request and returns its answer, repeating what is lost.
+func (fl *Flow) Ask(body string, timeout time.Duration) (string, error) {
+	end := time.Now().Add(timeout)
+	for wait := 200 * time.Millisecond; ; wait *= 2 {
+		fl.send(head{seq: fl.seq, ack: fl.ack, ackOn: true}, []byte(body))
+		for {
+			in, err := fl.next(min(wait, time.Until(end)))
+			if errors.Is(err, ErrTimeout) {
+				break
+			}
+			if err != nil {
+				return "", err
+			}
+			if in.body == "" || in.h.seq != fl.ack {
+				continue
+			}
+			fl.seq += uint32(len(body))
+			fl.ack += uint32(len(in.body))
+			fl.echo = in.h.echo
+			fl.send(head{seq: fl.seq, ack: fl.ack, ackOn: true}, nil)
+			return in.body, nil
+		}
+		if time.Now().After(end) {
+			return "", ErrTimeout
+		}
+	}
+}
+
+// Close closes the flow.
+func (fl *Flow) Close() {
+	fl.send(head{seq: fl.seq, ack: fl.ack, ackOn: true, fin: true}, nil)
+	fl.c.mu.Lock()
+	defer fl.c.mu.Unlock()
+	delete(fl.c.flows, fl.port)
+}
+
+func (fl *Flow) next(wait time.Duration) (packetIn, error) {
+	select {
+	case in := <-fl.in:
+		if in.h.rst {
+			return in, ErrReset
+		}
+		return in, nil
+	case <-time.After(wait):
+		return packetIn{}, ErrTimeout
+	}
+}
+
+func (fl *Flow) send(h head, body []byte) {
+	h.src, h.dst, h.echo = netip.AddrPortFrom(fl.c.addr, fl.port), fl.to, fl.echo
+	_, _ = fl.c.udp.WriteToUDPAddrPort(h.encode(body), fl.Via) // lost packets are part of the protocol
+}
--- /dev/null
+++ b/internal/standin/direct/target.go
@@ -0,0 +1,160 @@
+package direct
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Registration is a target's entry in the store.
+type Registration struct {
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Version  string `json:"version"`
+	Slots    int    `json:"slots"`
+	State    string `json:"state"`
+	ColdLeft int    `json:"coldLeftMs"`
+	Sequence int    `json:"sequence"`
+}
+
+// Target is a stand-in target: it answers each request with its name.
+type Target struct {
+	ID      uint64
+	Reg     Registration
+	Work    time.Duration
+	Opened  atomic.Int64 // openings that it answered
+	Ran     atomic.Int64 // requests that it worked on
+	Foreign atomic.Int64 // packets of flows that it does not hold
+	silent  atomic.Bool
+
+	udp   *net.UDPConn
+	srv   *http.Server
+	store *Store
+	reply uint16 // the port at which callers are reached
+
+	mu    sync.Mutex
+	flows map[[2]netip.AddrPort]*targetFlow
+}
+
+type targetFlow struct {
+	next uint32 // sequence number of the caller's next data
+	sent uint32 // of our next data
+}
+
+// NewTarget starts a target at addr and registers it.
+func NewTarget(s *Store, id uint64, addr string, service, centre string, reply uint16) (*Target, error) {
+	a, err := net.ResolveUDPAddr("udp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	udp, err := net.ListenUDP("udp4", a)
+	if err != nil {
+		return nil, err
+	}
+	tcp, err := net.Listen("tcp4", udp.LocalAddr().String())
+	if err != nil {
+		return nil, err
+	}
+	t := &Target{ID: id, udp: udp, store: s, reply: reply, Work: time.Millisecond, flows: map[[2]netip.AddrPort]*targetFlow{}}
+	t.Reg = Registration{Service: service, Address: udp.LocalAddr().String(), Zone: centre, Version: "v1", Slots: 2, State: "ready"}
+	t.srv = &http.Server{Handler: http.HandlerFunc(t.health), ReadHeaderTimeout: time.Second}
+	go func() { _ = t.srv.Serve(tcp) }() // it ends with Stop
+	go t.serve()
+	t.Register()
+	return t, nil
+}
+
+// Name is the target's name in the store.
+func (t *Target) Name() string { return fmt.Sprintf("i-%010x", t.ID) }
+
+// Register writes the target's entry, as each heartbeat does.
+func (t *Target) Register() {
+	t.Reg.Sequence++
+	t.store.Put("servers/"+t.Name(), t.Reg)
+}
+
+// Drain announces that the target will leave.
+func (t *Target) Drain() {
+	t.Reg.State = "draining"
+	t.Register()
+}
+
+// Silence makes the target answer nothing any more, as if it had lost power.
+func (t *Target) Silence() { t.silent.Store(true) }
+
+// Stop ends the target: its address refuses connections.
+func (t *Target) Stop() {
+	_ = t.udp.Close()
+	_ = t.srv.Close()
+}
+
+func (t *Target) health(w http.ResponseWriter, r *http.Request) {
+	if t.silent.Load() {
+		<-r.Context().Done()
+		return
+	}
+	w.Header().Set("Endpoint-Id", t.Name())
+}
+
+func (t *Target) serve() {
+	buf := make([]byte, 2048)
+	for {
+		n, err := t.udp.Read(buf)
+		if err != nil {
+			return
+		}
+		if n < 8 || t.silent.Load() {
+			continue
+		}
+		if id := binary.BigEndian.Uint64(buf); id != 0 && id != t.ID {
+			continue
+		}
+		if h, body, ok := parse(buf[8:n]); ok {
+			t.handle(h, string(body))
+		}
+	}
+}
+
+func (t *Target) handle(h head, body string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := [2]netip.AddrPort{h.src, h.dst}
+	fl := t.flows[key]
+	switch {
+	case h.syn:
+		t.Opened.Add(1)
+		t.flows[key] = &targetFlow{next: h.seq + 1, sent: 5001}
+		t.send(h, head{seq: 5000, ack: h.seq + 1, syn: true, ackOn: true}, nil)
+	case fl == nil:
+		t.Foreign.Add(1)
+		t.send(h, head{seq: h.ack, rst: true}, nil)
+	case h.fin || h.rst:
+		delete(t.flows, key)
+	case len(body) > 0 && h.seq == fl.next:
+		fl.next += uint32(len(body))
+		t.Ran.Add(1)
+		go t.work(h, fl, body)
+	}
+}
+
+// work answers a request once.
+func (t *Target) work(h head, fl *targetFlow, body string) {
+	time.Sleep(t.Work)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	answer := []byte(strings.TrimSpace(body) + " by " + t.Name())
+	t.send(h, head{seq: fl.sent, ack: fl.next, ackOn: true}, answer)
+	fl.sent += uint32(len(answer))
+}
+
+func (t *Target) send(to, h head, body []byte) {
+	h.src, h.dst, h.echo = to.dst, to.src, to.echo
+	_, _ = t.udp.WriteToUDPAddrPort(h.encode(body), netip.AddrPortFrom(to.src.Addr(), t.reply)) // lost packets are part of the protocol
+}
