--- a/internal/direct/replay_test.go
+++ b/internal/direct/replay_test.go
@@ -196,7 +196,7 @@
 		case s.dead:
 			finding = Gone
 		case s.dark:
-			finding, took = Unreachable, 150*time.Millisecond
+			finding, took = Silent, 150*time.Millisecond
 		}
 		r.after(took, func() {
 			v := b.f.Checked(r.now, s.ID, finding)
--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -87,16 +87,16 @@
 // Finding is the outcome of a check.
 type Finding uint8
 
-// The findings. A target that accepts a connection is there, whatever it says
-// of its health or whether it answers at all: health answers may be false.
+// The findings. Any answer shows life, whatever it says of the target's health:
+// health answers may be false.
 const (
-	Alive       Finding = iota
-	Gone                // nothing listens at its address, or another target does
-	Unreachable         // no answer from its address, which may be the path's fault
+	Alive  Finding = iota
+	Gone           // nothing listens at its address, or another target does
+	Silent         // no answer in time, which may be the path's fault or the check's
 )
 
 // String returns the name in logs.
-func (x Finding) String() string { return [...]string{"alive", "gone", "unreachable"}[x] }
+func (x Finding) String() string { return [...]string{"alive", "gone", "silent"}[x] }
 
 // Verdict is what a check has changed.
 type Verdict struct {
@@ -116,7 +116,7 @@
 		t.checking = false
 		f.checking--
 	}
-	if x == Alive || x == Unreachable && t.progress > t.checked {
+	if x == Alive || x == Silent && t.progress > t.checked {
 		t.clear()
 		return Verdict{}
 	}
@@ -124,12 +124,19 @@
 	t.finding = x
 	t.failed++
 	t.avoidUntil = now + avoidTime
-	if x == Gone || t.failed >= confirmChecks && f.othersLive(now, t) {
+	if x == Gone || t.failed >= confirmChecks && t.mute() && f.othersLive(now, t) {
 		v.Resets = f.bury(now, t)
 	}
 	return v
 }
 
+// mute reports whether more than the checks speaks against the target.
+//
+// Failure: a target's health check hangs while its flows are served. A check
+// without an answer proves nothing then; flows that wait in vain do, and so does
+// a registration that lapsed.
+func (t *target) mute() bool { return t.stalls > 0 || t.departed }
+
 // othersLive reports whether the targets near by are well but for this one.
 //
 // Failure: this balancer's own link is choked, as while it loads a large
--- a/internal/direct/suspect_test.go
+++ b/internal/direct/suspect_test.go
@@ -67,7 +67,7 @@
 		b.f.Suspects(b.now)
 		b.now += 150 * time.Millisecond
 		b.live(silent)
-		v = b.f.Checked(b.now, silent, Unreachable)
+		v = b.f.Checked(b.now, silent, Silent)
 		b.now += confirmPause
 	}
 	if len(v.Resets) != len(waiting) {
@@ -105,7 +105,7 @@
 			b.ask(p, streams, id, 101, 1000)
 		}
 		for _, x := range b.f.Suspects(b.now) {
-			if v := b.f.Checked(b.now+150*time.Millisecond, x.ID, Unreachable); len(v.Resets) > 0 {
+			if v := b.f.Checked(b.now+150*time.Millisecond, x.ID, Silent); len(v.Resets) > 0 {
 				t.Fatalf("flows of target %d are reset", x.ID)
 			}
 		}
@@ -152,19 +152,44 @@
 	}
 }
 
-// A target whose health answers are false, resets or hang accepts connections:
-// it lives, and its flows go on.
-func TestFalseHealthAnswers(t *testing.T) {
+// A target's health check hangs while its flows are served, and a packet of one
+// flow is lost. The target lives: none of its flows may be reset.
+func TestHangingHealthCheck(t *testing.T) {
 	b := newBench(t, manyTargets(3)...)
+	b.live(0)
 	id := b.open(1, streams)
 	b.ask(1, streams, id, 101, 1000)
 	b.now += 400 * time.Millisecond
-	b.ask(1, streams, id, 101, 1000)
-	b.f.Suspects(b.now)
-	b.f.Checked(b.now, id, Alive)
+	b.ask(1, streams, id, 101, 1000) // the packet was lost
+	for ack := uint32(1000); ack < 1400; ack += 100 {
+		b.f.Suspects(b.now)
+		b.now += 30 * time.Millisecond
+		answered := packet(1, streams, ACK, id.Cookie())
+		answered.Seq, answered.Ack = 401, ack+100
+		b.handle(answered)
+		b.now += 170 * time.Millisecond
+		b.live(id)
+		if v := b.f.Checked(b.now, id, Silent); len(v.Resets) > 0 || v.News {
+			t.Fatalf("verdict %+v on a living target", v)
+		}
+	}
 	if !b.state(id).eligible(b.now) {
 		t.Error("the target is avoided")
 	}
+}
+
+// Nothing is asked of a target whose health check hangs: that alone must not
+// make it dead.
+func TestSilentCheckAloneProvesNothing(t *testing.T) {
+	b := newBench(t, manyTargets(3)...)
+	id := b.open(1, streams)
+	for range 5 {
+		b.now += time.Second
+		b.live(id)
+		b.f.PeerSuspects(b.now, id)
+		b.f.Suspects(b.now)
+		b.f.Checked(b.now, id, Silent)
+	}
 	b.want(b.ask(1, streams, id, 101, 1000), Forwarded)
 }
 
