End planned stops sooner; log a leaving balancer once

The log had a line for each heartbeat of a leaving balancer.

Stand-in targets get addresses of their own: a test run failed once on a port in use beside another run.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,12 +20,14 @@
 	flowBytes = 400
 	// flowShare of the memory limit may be taken by flows.
 	flowShare = 4
-	// stopQuiet ends a planned stop once no packet has come for so long:
-	// the routers have found other balancers by then.
-	stopQuiet = 700 * time.Millisecond
+	// stopQuiet ends a planned stop once no packet has come for so long: the
+	// routers have found other balancers by then. A VM gets hundreds a second.
+	stopQuiet = 200 * time.Millisecond
 	// stopLeast is how long the routers take to notice that a balancer is not
-	// ready: two misses, half a second apart, and some room.
-	stopLeast = 1600 * time.Millisecond
+	// ready: two misses, half a second apart, and some room. Longer stops overlap
+	// when a data centre's balancers are restarted 1.2 s apart; with more than
+	// half of them away the routers use all, also those that have ended.
+	stopLeast = 1100 * time.Millisecond
 	// stopReserve of the grace period is left for ending.
 	stopReserve = time.Second
 )
@@ -96,7 +98,7 @@
 	e.control.leave()
 	last := e.boot.Grace - stopReserve
 	for {
-		time.Sleep(stopQuiet / 10)
+		time.Sleep(stopQuiet / 4)
 		now := e.now()
 		quiet := now - e.packets.lastAt()
 		if now-began > last || now-began > stopLeast && quiet > stopQuiet {
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -23,9 +24,13 @@
 	targets   []*direct.Target
 	balancers []*running
 	caller    *direct.Caller
+	net       int // the block of addresses
 	dataPort  uint16
 }
 
+// targetPort is where all targets listen.
+const targetPort = 8080
+
 // running is a balancer in this process.
 type running struct {
 	boot platform.Boot
@@ -74,12 +79,26 @@
 	}
 }
 
-// block gives each test addresses of its own.
+// block gives each test addresses of its own, also beside another run of the
+// tests.
 var block struct {
 	sync.Mutex
 	n int
 }
 
+// Roles of a test's addresses.
+const (
+	balancerNet = iota
+	callerNet
+	targetNet
+)
+
+// address returns the i-th address of a role in a test's block.
+func address(test, role, i int) netip.Addr {
+	const nets, least = 200, 20
+	return netip.AddrFrom4([4]byte{127, byte(least + os.Getpid()%nets), byte(test*4 + role), byte(i)})
+}
+
 // deploy starts n balancers and two targets of each service.
 func deploy(t *testing.T, n int) *deployment {
 	t.Helper()
@@ -87,7 +106,7 @@
 	block.n++
 	net := block.n
 	block.Unlock()
-	d := &deployment{t: t, dataPort: uint16(18000 + net)}
+	d := &deployment{t: t, net: net, dataPort: uint16(18000 + net)}
 	var err error
 	if d.store, err = direct.NewStore(); err != nil {
 		t.Fatal(err)
@@ -97,12 +116,12 @@
 	for i := range 4 {
 		d.addTarget(uint64(0xa000000001+i), []string{"catalogue", "scan-store"}[i/2])
 	}
-	if d.caller, err = direct.NewCaller(netip.AddrFrom4([4]byte{127, 2, byte(net), 1}), d.dataPort); err != nil {
+	if d.caller, err = direct.NewCaller(address(net, callerNet, 1), d.dataPort); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(d.caller.Close)
 	for i := range n {
-		d.start(netip.AddrFrom4([4]byte{127, 1, byte(net), byte(i + 1)}))
+		d.start(address(net, balancerNet, i+1))
 	}
 	for _, b := range d.balancers {
 		d.eventually(5*time.Second, "balancer is ready", b.isReady)
@@ -112,7 +131,8 @@
 
 func (d *deployment) addTarget(id uint64, service string) *direct.Target {
 	d.t.Helper()
-	t, err := direct.NewTarget(d.store, id, "127.0.0.1:0", service, "a", d.dataPort)
+	addr := netip.AddrPortFrom(address(d.net, targetNet, len(d.targets)+1), targetPort)
+	t, err := direct.NewTarget(d.store, id, addr.String(), service, "a", d.dataPort)
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -46,6 +46,9 @@
 func (c *control) heard(ctx context.Context, h peer.Heartbeat) {
 	now := c.now()
 	n := c.peers[h.From]
+	if n != nil && h.Leaving && !n.last.Leaving {
+		c.log.Info("balancer leaves", zap.String("peer", h.From))
+	}
 	if n == nil || now-n.heard > peerSilent {
 		c.log.Info("balancer heard", zap.String("peer", h.From), zap.Int64("position", h.Position), zap.Int64("version", h.Version))
 	}
@@ -54,9 +57,6 @@
 		c.peers[h.From] = n
 	}
 	n.last, n.heard = h, now
-	if h.Leaving {
-		delete(c.peers, h.From)
-	}
 	if h.Position > 0 && !c.replica.Confirm(h.Position, h.LastChange, now-h.Age) && !c.reader.Reading() {
 		c.fetchChanges(ctx, h.Control)
 	}
@@ -85,7 +85,7 @@
 			delete(c.peers, name)
 			continue
 		}
-		if now-n.heard <= peerSilent && n.last.Reading && c.fleet.Before(name) {
+		if now-n.heard <= peerSilent && !n.last.Leaving && n.last.Reading && c.fleet.Before(name) {
 			return true
 		}
 	}
