Explain a complaint: status, explain, histograms, inputs in every flow line

A balancer serves /status and /explain beside /metrics; rosedale edge status, targets and explain ask many at once and show where they differ. Flow lines carry the copy of the opening, the target's load, the catalogue's version and the age of the copy. Three tests take a complaint to its cause (no answer, reset midway, late answer).

--- /dev/null
+++ b/cmd/rosedale/edge.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"rosedale.dev/rosedale/internal/operator"
+)
+
+// edge is the group of commands for balancers whose targets answer callers
+// themselves.
+func (a *app) edge() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "edge", ShortUsage: "rosedale edge <command>",
+		ShortHelp:   "Look at balancers whose targets answer callers themselves.",
+		Subcommands: []*ffcli.Command{a.edgeStatus(), a.edgeTargets(), a.edgeExplain()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+const edgeAdmins = "admin addresses of the balancers, with commas between them"
+
+func edgesOf(list string) (operator.Edges, error) {
+	if list == "" {
+		return operator.Edges{}, usage("-admins is needed")
+	}
+	return operator.Edges{Admins: strings.Split(list, ",")}, nil
+}
+
+func (a *app) edgeStatus() *ffcli.Command {
+	fs := flag.NewFlagSet("status", flag.ContinueOnError)
+	admins := fs.String("admins", "", edgeAdmins)
+	return &ffcli.Command{
+		Name: "status", ShortUsage: "rosedale edge status -admins A,B", FlagSet: fs,
+		ShortHelp: "Show what each balancer has in force, and how old that is.",
+		Exec: func(ctx context.Context, _ []string) error {
+			edges, err := edgesOf(*admins)
+			if err != nil {
+				return err
+			}
+			all := edges.Status(ctx)
+			t := newTable("VM", "DATA CENTRE", "READY", "READS", "VERSION", "POSITION", "AGE", "STORE", "FLOWS", "PEERS", "ERROR")
+			for _, s := range all {
+				if s.Status == nil {
+					t.row(s.Admin, "", "", "", "", "", "", "", "", "", s.Error)
+					continue
+				}
+				x := s.Status
+				t.row(x.VM, x.DataCenter, x.Ready, x.Reading, x.Version, x.Position, x.Age.Round(time.Millisecond), reach(x.StoreLost), x.Flows, len(x.Peers), "")
+			}
+			return a.print(t, all)
+		},
+	}
+}
+
+func reach(lost bool) string {
+	if lost {
+		return "lost"
+	}
+	return "ok"
+}
+
+func (a *app) edgeTargets() *ffcli.Command {
+	fs := flag.NewFlagSet("targets", flag.ContinueOnError)
+	admins := fs.String("admins", "", edgeAdmins)
+	differ := fs.Bool("differ", false, "only targets about which the balancers disagree")
+	return &ffcli.Command{
+		Name: "targets", ShortUsage: "rosedale edge targets -admins A,B [-differ]", FlagSet: fs,
+		ShortHelp: "Show what each balancer believes of each target.",
+		Exec: func(ctx context.Context, _ []string) error {
+			edges, err := edgesOf(*admins)
+			if err != nil {
+				return err
+			}
+			all := edges.Status(ctx)
+			if *differ {
+				return a.printDifferences(operator.Differences(all))
+			}
+			t := newTable("TARGET", "SERVICE", "DATA CENTRE", "ADDRESS", "VM", "STATE", "FLOWS", "BUSY", "LOAD", "SILENCE", "REPEATS", "FINDING")
+			for _, s := range all {
+				if s.Status == nil {
+					continue
+				}
+				for _, x := range s.Status.Targets {
+					t.row(x.ID, x.Service, x.DataCenter, x.Address, s.Status.VM, x.State, x.Flows, x.Busy,
+						fmt.Sprintf("%.2f", x.Load), x.Silence.Round(time.Millisecond), x.Repeats, x.Finding)
+				}
+			}
+			return a.print(t, all)
+		},
+	}
+}
+
+func (a *app) printDifferences(list []operator.Difference) error {
+	t := newTable("TARGET", "VM", "STATE")
+	for _, d := range list {
+		for vm, s := range d.States {
+			t.row(d.Target, vm, s)
+		}
+	}
+	return a.print(t, list)
+}
+
+func (a *app) edgeExplain() *ffcli.Command {
+	fs := flag.NewFlagSet("explain", flag.ContinueOnError)
+	admins := fs.String("admins", "", edgeAdmins)
+	caller := fs.String("caller", "", "caller's address and port")
+	return &ffcli.Command{
+		Name: "explain", ShortUsage: "rosedale edge explain -admins A,B -caller A:P ADDRESS", FlagSet: fs,
+		ShortHelp: "Show what each balancer would do with a flow's packets.",
+		Exec: withOne("service address", func(ctx context.Context, addr string) error {
+			edges, err := edgesOf(*admins)
+			if err != nil {
+				return err
+			}
+			from, err := netip.ParseAddrPort(*caller)
+			if err != nil {
+				return usage("-caller: %v", err)
+			}
+			to, err := netip.ParseAddrPort(addr)
+			if err != nil {
+				return usage("service address: %v", err)
+			}
+			all := edges.Explain(ctx, from, to)
+			t := newTable("ADMIN", "ROUTE", "VERSION", "KNOWN", "TARGET", "STATE", "OUTCOME", "ERROR")
+			for _, x := range all {
+				if x.Explanation == nil {
+					t.row(x.Admin, "", "", "", "", "", "", x.Error)
+					continue
+				}
+				e := x.Explanation
+				t.row(x.Admin, e.Route, e.Version, e.Known, e.Target, e.State, e.Outcome, "")
+			}
+			return a.print(t, all)
+		}),
+	}
+}
--- a/cmd/rosedale/main.go
+++ b/cmd/rosedale/main.go
@@ -57,7 +57,7 @@
 		FlagSet:    fs,
 		Options:    []ff.Option{ff.WithEnvVarPrefix("ROSEDALE")},
 		Subcommands: []*ffcli.Command{
-			a.catalogue(), a.status(), a.flows(), a.explain(), a.drain(), a.snapshot(), keysCommand(),
+			a.catalogue(), a.status(), a.flows(), a.explain(), a.drain(), a.snapshot(), a.edge(), keysCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -17,8 +17,29 @@
 	FlowMaxAge time.Duration // after which a flow may be forgotten
 	MaxFlows   int           // bound of the flow table
 	Seed       uint64
+	// Times takes what packets show of times; nil discards it.
+	Times Times
 }
 
+// Times takes times that packets and checks show.
+type Times interface {
+	// Opened takes the time from an opening to the caller's next packet.
+	Opened(time.Duration)
+	// Answered takes the time from a request to the first acknowledgement of
+	// its answer.
+	Answered(time.Duration)
+	// Detected takes the time from a dead target's last sign of life to its
+	// discovery.
+	Detected(time.Duration)
+}
+
+// noTimes discards times.
+type noTimes struct{}
+
+func (noTimes) Opened(time.Duration)   {}
+func (noTimes) Answered(time.Duration) {}
+func (noTimes) Detected(time.Duration) {}
+
 // Forwarder decides on packets. It is not safe for concurrent use.
 type Forwarder struct {
 	dataCenter string
@@ -44,10 +65,14 @@
 	usual    time.Duration // from an opening to the caller's next packet
 	due      bool          // a target has become suspicious
 	checking int           // checks under way
+	times    Times
 }
 
 // New returns a Forwarder that knows no target yet.
 func New(c Config) *Forwarder {
+	if c.Times == nil {
+		c.Times = noTimes{}
+	}
 	return &Forwarder{
 		dataCenter: c.DataCenter,
 		flowMaxAge: c.FlowMaxAge,
@@ -59,6 +84,7 @@
 		flows:      map[FlowKey]*flow{},
 		strange:    map[Cookie]time.Duration{},
 		usual:      firstUsual,
+		times:      c.Times,
 	}
 }
 
@@ -73,6 +99,9 @@
 	f.overdue(now)
 	d := f.decide(now, s)
 	f.counts[d.Reason]++
+	if f.catalogue != nil {
+		d.Version = f.catalogue.Version
+	}
 	return d
 }
 
--- /dev/null
+++ b/internal/direct/inspect.go
@@ -0,0 +1,122 @@
+package direct
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// TargetInfo is what one balancer believes of a target, for operators.
+type TargetInfo struct {
+	ID         string        `json:"id"`
+	Service    string        `json:"service"`
+	Address    string        `json:"address"`
+	DataCenter string        `json:"data_center"`
+	State      string        `json:"state"` // see target.state
+	Flows      int           `json:"flows"`
+	Busy       int           `json:"busy"`
+	PeerFlows  int           `json:"peer_flows"`
+	Load       float64       `json:"load"`     // requests per slot
+	Silence    time.Duration `json:"silence"`  // since its last sign of life here
+	Repeats    int           `json:"repeats"`  // of callers since then
+	Finding    string        `json:"finding"`  // of the last check
+	Eligible   bool          `json:"eligible"` // for new flows
+}
+
+// Targets returns all targets, by service and identifier.
+func (f *Forwarder) Targets(now time.Duration) []TargetInfo {
+	out := make([]TargetInfo, 0, len(f.targets))
+	for _, t := range f.targets {
+		out = append(out, f.info(now, t))
+	}
+	slices.SortFunc(out, func(a, b TargetInfo) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
+
+func (f *Forwarder) info(now time.Duration, t *target) TargetInfo {
+	return TargetInfo{
+		ID: t.ID.String(), Service: t.Service, Address: t.Addr.String(), DataCenter: t.DataCenter,
+		State: t.state(now), Flows: t.flows, Busy: t.busy, PeerFlows: t.peers.Flows,
+		Load: t.load(now, f.service(t.Service).work), Silence: now - t.progress, Repeats: t.stalls,
+		Finding: t.finding.String(), Eligible: t.eligible(now),
+	}
+}
+
+// state names the first thing that speaks against a target.
+func (t *target) state(now time.Duration) string {
+	switch {
+	case t.left:
+		return "left"
+	case t.departed:
+		return "lapsed"
+	case t.dead:
+		return "dead"
+	case t.shadowed:
+		return "cookie_taken"
+	case t.Draining:
+		return "draining"
+	case now < t.avoidUntil:
+		return "suspected"
+	case now < t.coldUntil:
+		return "cold"
+	}
+	return "ready"
+}
+
+// Explanation says what would become of a flow's packets at one balancer.
+type Explanation struct {
+	Route   string       `json:"route"`
+	Version int64        `json:"version"` // of the catalogue
+	Known   bool         `json:"known"`   // the flow is in the table
+	Target  string       `json:"target"`  // that holds it, by identifier
+	State   string       `json:"state"`   // of that target
+	Outcome string       `json:"outcome"` // of its next packet, or of an opening
+	Choices []TargetInfo `json:"choices"` // targets of the route's services
+}
+
+// Explain explains a flow. It changes nothing.
+func (f *Forwarder) Explain(now time.Duration, k FlowKey) Explanation {
+	var x Explanation
+	if f.catalogue == nil {
+		x.Outcome = "no catalogue yet"
+		return x
+	}
+	x.Version = f.catalogue.Version
+	r, ok := f.catalogue.Routes[k.Address]
+	if !ok {
+		x.Outcome = ResetNoRoute.String()
+		return x
+	}
+	x.Route = r.Name
+	for _, b := range r.Backends {
+		for _, t := range f.service(b.Service).targets {
+			x.Choices = append(x.Choices, f.info(now, t))
+		}
+	}
+	if fl := f.flows[k]; fl != nil {
+		x.Known = true
+		x.Target = fl.target.ID.String()
+		x.State = fl.target.state(now)
+		x.Outcome = Forwarded.String()
+		if d, ended := f.ended(now, fl.target, &Segment{Caller: k.Caller, Address: k.Address}); ended {
+			x.Outcome = d.Reason.String()
+		}
+		return x
+	}
+	x.Outcome = f.explainOpening(now, r, k)
+	return x
+}
+
+func (f *Forwarder) explainOpening(now time.Duration, r Route, k FlowKey) string {
+	svc := f.backend(&r, &Segment{Caller: k.Caller, Address: k.Address})
+	if svc == nil {
+		return ResetNoTarget.String()
+	}
+	c, why := f.place(now, svc, [2]TargetID{})
+	if c.target == nil {
+		return ResetNoTarget.String()
+	}
+	return why.String() + " " + c.target.ID.String()
+}
--- a/internal/direct/observe.go
+++ b/internal/direct/observe.go
@@ -70,6 +70,9 @@
 	}
 	if s.Flags.Has(ACK) && after(s.Ack, fl.maxAck) {
 		fl.maxAck = s.Ack
+		if fl.pending {
+			f.times.Answered(now - fl.asked)
+		}
 		fl.pending = false
 		f.idle(fl)
 		f.acknowledged(now, fl.target, s)
--- a/internal/direct/reason.go
+++ b/internal/direct/reason.go
@@ -58,6 +58,8 @@
 	// SetCookie tells to write the target's cookie into the packet: openings
 	// carry it to the target, which returns it.
 	SetCookie bool
-	// Opening marks a decision worth a log line: a new flow, or its end.
-	Load float64 // the chosen target's load per slot, for the log
+	// Load is the chosen target's load in requests per slot, and Version the
+	// catalogue's; both are inputs of the decision, for the log.
+	Load    float64
+	Version int64
 }
--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -163,6 +163,7 @@
 	}
 	t.dead = true
 	t.endedAt = now
+	f.times.Detected(now - t.progress)
 	var out []Segment
 	for k, fl := range f.flows {
 		if fl.target == t && fl.pending && f.hopeless(t, k) {
--- a/internal/direct/target.go
+++ b/internal/direct/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 )
 
@@ -37,3 +38,6 @@
 	t.ColdLeft, o.ColdLeft = 0, 0
 	return t == o
 }
+
+// String returns the identifier as the store spells it.
+func (id TargetID) String() string { return strconv.FormatUint(uint64(id), 16) }
--- a/internal/direct/waits.go
+++ b/internal/direct/waits.go
@@ -99,5 +99,6 @@
 
 // answered measures the time from an opening to the caller's next packet.
 func (f *Forwarder) answered(took time.Duration) {
+	f.times.Opened(took)
 	f.usual += time.Duration(usualWeight * float64(took-f.usual))
 }
--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -148,7 +148,7 @@
 		c.stopFirstRead()
 		return
 	}
-	c.apply(c.replica.Apply(items, ch.Position, proven), from.String())
+	c.applyChanges(c.replica.Apply(items, ch.Position, proven), from.String(), asked)
 }
 
 // fetchIfUnloaded asks the seeds in turn while nothing is known at all, as the
--- /dev/null
+++ b/internal/edge/complaint_test.go
@@ -0,0 +1,157 @@
+package edge
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	core "rosedale.dev/rosedale/internal/direct"
+	"rosedale.dev/rosedale/internal/standin/direct"
+)
+
+// get asks a balancer's admin endpoint.
+func (b *running) get(t *testing.T, path string, q url.Values, into any) {
+	t.Helper()
+	u := "http://" + net.JoinHostPort(b.boot.Data.Addr().String(), AdminPort) + path + "?" + q.Encode()
+	resp, err := http.Get(u)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%s: %d %s %v", path, resp.StatusCode, body, err)
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (b *running) explain(t *testing.T, caller, address netip.AddrPort) core.Explanation {
+	t.Helper()
+	var x core.Explanation
+	b.get(t, ExplainPath, url.Values{"caller": {caller.String()}, "address": {address.String()}}, &x)
+	return x
+}
+
+// flowLines returns the log lines of a caller's flow.
+func (b *running) flowLines(t *testing.T, caller netip.AddrPort) []map[string]any {
+	t.Helper()
+	var out []map[string]any
+	for _, l := range b.lines(t, "flow") {
+		if l["caller"] == caller.String() {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// A caller says that an opening got no answer. Its target had gone silent; the
+// lines of the flow name the target and its copies, the target's own lines why
+// it is avoided since.
+func TestComplaintNoAnswer(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	b := d.balancers[0]
+	d.targets[2].Silence() // both targets of the scan store
+	d.targets[3].Silence()
+	fl, err := d.caller.Open(scans, b.boot.Data)
+	if !errors.Is(err, direct.ErrTimeout) {
+		t.Fatalf("opening: %v %v, want no answer", fl, err)
+	}
+	caller := netip.AddrPortFrom(address(d.net, callerNet, 1), 1025)
+	lines := b.flowLines(t, caller)
+	if len(lines) != 3 {
+		t.Fatalf("%d lines of the flow, want one a copy: %v", len(lines), lines)
+	}
+	first := lines[0]["target"].(string)
+	for _, key := range []string{"outcome", "target", "load", "version", "age", "copy"} {
+		if _, ok := lines[0][key]; !ok {
+			t.Errorf("line has no %s: %v", key, lines[0])
+		}
+	}
+	if lines[1]["outcome"] != "opened_elsewhere" || lines[1]["target"] == first {
+		t.Errorf("second copy: %v", lines[1])
+	}
+	found := false
+	for _, l := range b.lines(t, "target checked") {
+		found = found || l["target"] == first && l["finding"] == "silent"
+	}
+	if !found {
+		t.Errorf("no check found target %s silent", first)
+	}
+}
+
+// A caller says that its flow was reset midway. Its target had crashed; the
+// flow's line names the target, and the target's line the refused check.
+func TestComplaintReset(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	b := d.balancers[0]
+	fl, err := d.caller.Open(previews, b.boot.Data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	name, err := fl.Ask("a", time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	caller := netip.AddrPortFrom(address(d.net, callerNet, 1), 1025)
+	if x := b.explain(t, caller, previews); !x.Known || x.Outcome != "forwarded" || !strings.HasSuffix(name, x.Target) {
+		t.Errorf("before the crash: %+v, answered %s", x, name)
+	}
+	for _, x := range d.targets {
+		if strings.HasSuffix(name, x.Name()) {
+			x.Stop()
+		}
+	}
+	if _, err := fl.Ask("b", 2*time.Second); !errors.Is(err, direct.ErrReset) {
+		t.Fatalf("request to the crashed target: %v", err)
+	}
+	d.eventually(time.Second, "the flow's end is logged", func() bool {
+		lines := b.flowLines(t, caller)
+		return len(lines) > 0 && lines[len(lines)-1]["outcome"] == "reset_silent"
+	})
+}
+
+// A caller says that its answer came late. Its target was slow; the status shows
+// requests under way there and the time since it last answered.
+func TestComplaintLate(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	b := d.balancers[0]
+	for _, x := range d.targets[:2] {
+		x.Work = 600 * time.Millisecond
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := d.ask(b, previews)
+		done <- err
+	}()
+	var s Status
+	d.eventually(2*time.Second, "a request is under way", func() bool {
+		b.get(t, StatusPath, nil, &s)
+		for _, x := range s.Targets {
+			if x.Busy == 1 && x.Silence > 200*time.Millisecond {
+				return true
+			}
+		}
+		return false
+	})
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if s.Version != 1 || !s.Ready || s.Age > time.Second || len(s.Targets) != 4 {
+		t.Errorf("status %+v", s)
+	}
+	if page := metricsPage(t, b); !strings.Contains(page, "rosedale_answer_seconds_bucket") {
+		t.Error("no histogram of answers")
+	}
+}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -132,10 +132,13 @@
 	c.ticks++
 	c.readIfDue(ctx, now)
 	c.fetchIfUnloaded(ctx)
+	age := c.replica.Age(now)
+	c.edge.proven.Store(int64(now - age))
+	c.edge.times.age.RecordDuration(age)
 	c.lease.renewIfDue(ctx, c, now)
 	e := c.edge
 	e.mu.Lock()
-	e.forward.SetCurrent(c.replica.Age(now) < currentLimit)
+	e.forward.SetCurrent(age < currentLimit)
 	e.forward.SetPeerLoads(c.peerLoads(now))
 	e.forward.Tick(now)
 	e.mu.Unlock()
@@ -164,6 +167,7 @@
 // apply puts changes of the copy in force.
 func (c *control) apply(items []replica.Item, source string) {
 	now := c.now()
+	c.edge.counts.changes.Add(uint64(len(items)))
 	var catalogue *replica.Item
 	for _, i := range items {
 		switch {
@@ -254,7 +258,7 @@
 		c.edge.packets.reset(&v.Resets[i])
 		c.edge.logDecision(now, &v.Resets[i], direct.Decision{Verb: direct.Reset, Reason: direct.ResetSilent}, t.ID)
 	}
-	c.log.Info("target checked", zap.String("target", targetName(t.ID)), zap.Stringer("address", t.Addr),
+	c.log.Info("target checked", zap.String("target", t.ID.String()), zap.Stringer("address", t.Addr),
 		zap.Stringer("finding", x), zap.Error(err))
 	if x != direct.Alive {
 		c.edge.counts.checksFailed.Add(1)
--- a/internal/edge/counts.go
+++ b/internal/edge/counts.go
@@ -9,5 +9,5 @@
 	badHeartbeats, badItems                    atomic.Uint64
 	readFailures, fetchFailures, leaseFailures atomic.Uint64
 	checks, checksFailed                       atomic.Uint64
-	logLinesLost                               atomic.Uint64
+	changes                                    atomic.Uint64
 }
--- a/internal/edge/decisions.go
+++ b/internal/edge/decisions.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,13 +15,25 @@
 	if d.Verb == direct.Forward && !d.SetCookie {
 		return
 	}
-	e.log.Info("flow", zap.Stringer("caller", s.Caller), zap.Stringer("address", s.Address),
-		zap.Stringer("outcome", d.Reason), zap.String("target", targetName(id)), zap.Uint32("cookie", uint32(s.Cookie)),
-		zap.Float64("load", d.Load), zap.Duration("at", now))
+	e.log.Info("flow",
+		zap.Stringer("caller", s.Caller),
+		zap.Stringer("address", s.Address),
+		zap.Stringer("outcome", d.Reason),
+		zap.Stringer("target", id),
+		zap.Uint32("cookie", uint32(s.Cookie)),
+		zap.Uint32("copy", copyOf(s)),
+		zap.Float64("load", d.Load),
+		zap.Int64("version", d.Version),
+		zap.Duration("age", now-time.Duration(e.proven.Load())))
 }
 
-// targetName is a target's identifier as the store spells it.
-func targetName(id direct.TargetID) string { return strconv.FormatUint(uint64(id), 16) }
+// copyOf returns how many copies of an opening went before, 0 for others.
+func copyOf(s *direct.Segment) uint32 {
+	if s.Flags.Has(direct.SYN) {
+		return s.Ack
+	}
+	return 0
+}
 
 // becomeReady lets packets in once there is something to decide with.
 func (e *Edge) becomeReady() {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"rosedale.dev/rosedale/internal/direct"
+	"rosedale.dev/rosedale/internal/metrics"
 	"rosedale.dev/rosedale/platform"
 )
 
@@ -44,18 +45,23 @@
 	packets *packets
 	control *control
 	ready   *ready
-	left    atomic.Bool // a planned stop has begun
+	times   *times
+	left    atomic.Bool  // a planned stop has begun
+	proven  atomic.Int64 // when the copy of the store was last known to be current
 	counts  counts
 }
 
 // Run runs a balancer until ctx ends, and then stops it gracefully.
 func Run(ctx context.Context, boot platform.Boot, log *zap.Logger) error {
 	e := &Edge{boot: boot, log: log, start: time.Now()}
+	m := metrics.New()
+	e.times = newTimes(m)
 	e.forward = direct.New(direct.Config{
 		DataCenter: boot.DataCenter,
 		FlowMaxAge: boot.FlowMaxAge,
 		MaxFlows:   max(boot.MemoryMB<<20/flowShare/flowBytes, 1000),
 		Seed:       uint64(e.start.UnixNano()),
+		Times:      e.times,
 	})
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -72,11 +78,11 @@
 		return err
 	}
 	defer e.ready.close()
-	metrics, err := serveMetrics(e)
+	admin, err := serveAdmin(e, m)
 	if err != nil {
 		return err
 	}
-	defer metrics.close()
+	defer admin.close()
 	log.Info("started", zap.Stringer("data", boot.Data), zap.Stringer("store", boot.Store), zap.Int("seeds", len(boot.Seeds)))
 	go e.control.run(work)
 	go e.packets.run()
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -228,7 +228,7 @@
 
 func metricsPage(t *testing.T, b *running) string {
 	t.Helper()
-	resp, err := http.Get("http://" + net.JoinHostPort(b.boot.Data.Addr().String(), MetricsPort) + MetricsPath)
+	resp, err := http.Get("http://" + net.JoinHostPort(b.boot.Data.Addr().String(), AdminPort) + MetricsPath)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -1,52 +1,12 @@
 package edge
 
 import (
-	"net"
-	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-	"go.uber.org/zap"
-
 	"rosedale.dev/rosedale/internal/direct"
 	"rosedale.dev/rosedale/internal/metrics"
 )
 
-// MetricsPort and MetricsPath are where metrics are served, at the VM's address.
-const (
-	MetricsPort = "9464"
-	MetricsPath = "/metrics"
-)
-
-// metricsServer serves counters and levels.
-type metricsServer struct {
-	srv *http.Server
-}
-
-func serveMetrics(e *Edge) (*metricsServer, error) {
-	m := metrics.New()
-	e.publish(m)
-	addr := net.JoinHostPort(e.boot.Data.Addr().String(), MetricsPort)
-	ln, err := net.Listen("tcp4", addr)
-	if err != nil {
-		return nil, errors.Wrapf(err, "metrics: listen on %s", addr)
-	}
-	mux := http.NewServeMux()
-	mux.HandleFunc(MetricsPath, func(w http.ResponseWriter, r *http.Request) {
-		m.Collect()
-		m.Handler().ServeHTTP(w, r)
-	})
-	s := &metricsServer{srv: &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}}
-	go func() {
-		if err := s.srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			e.log.Error("metrics: server ended", zap.Error(err))
-		}
-	}()
-	return s, nil
-}
-
-func (s *metricsServer) close() { _ = s.srv.Close() }
-
 func (e *Edge) publish(m *metrics.Collector) {
 	for _, r := range direct.Reasons() {
 		m.Counter("packets_"+r.String(), func() uint64 {
@@ -56,6 +16,7 @@
 		})
 	}
 	m.Gauge("flows", func() float64 { return float64(e.flows()) })
+	m.Gauge("copy_age_seconds", func() float64 { return (e.now() - time.Duration(e.proven.Load())).Seconds() })
 	n := &e.counts
 	m.Counter("socket_read_errors", n.readErrors.Load)
 	m.Counter("socket_send_errors", n.sendErrors.Load)
@@ -69,5 +30,5 @@
 	m.Counter("lease_failures", n.leaseFailures.Load)
 	m.Counter("checks", n.checks.Load)
 	m.Counter("checks_failed", n.checksFailed.Load)
-	m.Counter("log_lines_lost", n.logLinesLost.Load)
+	m.Counter("changes_applied", n.changes.Load)
 }
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -18,6 +18,10 @@
 // while the process does not run.
 const receiveBuffer = 2 << 20
 
+// forwardSample is how many packets go by for each whose time is taken, so that
+// reading the clock costs nothing.
+const forwardSample = 16
+
 // packets is the data path's socket.
 type packets struct {
 	edge   *Edge
@@ -26,6 +30,8 @@
 	once   sync.Once     // closes loaded
 	early  earlyOpenings
 	last   atomic.Int64 // time of the last packet
+
+	handled atomic.Uint64 // packets so far
 }
 
 func listenPackets(e *Edge) (*packets, error) {
@@ -74,6 +80,9 @@
 	e := p.edge
 	now := e.now()
 	p.last.Store(int64(now))
+	if p.handled.Add(1)%forwardSample == 0 {
+		defer func() { e.times.forward.RecordDuration(e.now() - now) }()
+	}
 	packet := buf[platform.PrefixSize : platform.PrefixSize+n]
 	if err := platform.ParsePacket(packet, seg); err != nil {
 		e.mu.Lock()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -73,7 +73,7 @@
 	for _, id := range h.Suspected {
 		if c.edge.forward.PeerSuspects(now, direct.TargetID(id)) {
 			c.lookSoon()
-			c.log.Info("target suspected by a peer", zap.String("target", targetName(direct.TargetID(id))), zap.String("peer", h.From))
+			c.log.Info("target suspected by a peer", zap.String("target", direct.TargetID(id).String()), zap.String("peer", h.From))
 		}
 	}
 }
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -90,7 +90,16 @@
 		c.apply(c.replica.Replace(l.items, l.position, l.asked), "store")
 		return
 	}
-	c.apply(c.replica.Apply(l.items, l.position, l.asked), "store")
+	c.applyChanges(c.replica.Apply(l.items, l.position, l.asked), "store", l.asked)
+}
+
+// applyChanges puts news in force and measures how long that took since it was
+// asked for.
+func (c *control) applyChanges(items []replica.Item, source string, asked time.Duration) {
+	c.apply(items, source)
+	if len(items) > 0 {
+		c.edge.times.change.RecordDuration(c.now() - asked)
+	}
 }
 
 // dependency logs when the store is lost and when it is back.
--- /dev/null
+++ b/internal/edge/status.go
@@ -0,0 +1,61 @@
+package edge
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rosedale.dev/rosedale/internal/direct"
+)
+
+// Status is what a balancer believes, for operators.
+type Status struct {
+	VM         string              `json:"vm"`
+	DataCenter string              `json:"data_center"`
+	Up         time.Duration       `json:"up"`
+	Ready      bool                `json:"ready"`
+	Leaving    bool                `json:"leaving"`
+	Version    int64               `json:"version"`  // of the catalogue in force
+	Position   int64               `json:"position"` // of the copy of the store
+	Age        time.Duration       `json:"age"`      // of that copy at most
+	Reading    bool                `json:"reading"`  // this balancer reads the store
+	StoreLost  bool                `json:"store_lost"`
+	Flows      int                 `json:"flows"`
+	Peers      []Peer              `json:"peers"`
+	Targets    []direct.TargetInfo `json:"targets"`
+}
+
+// Peer is another balancer as this one hears it.
+type Peer struct {
+	VM         string        `json:"vm"`
+	DataCenter string        `json:"data_center"`
+	Heard      time.Duration `json:"heard"` // how long ago
+	Version    int64         `json:"version"`
+	Position   int64         `json:"position"`
+	Reading    bool          `json:"reading"`
+}
+
+// status collects a Status. It is for other goroutines.
+func (c *control) status() Status {
+	out := make(chan Status, 1)
+	c.post(func() { out <- c.snapshot() })
+	return <-out
+}
+
+func (c *control) snapshot() Status {
+	now := c.now()
+	s := Status{
+		VM: c.edge.boot.VM, DataCenter: c.edge.boot.DataCenter, Up: now,
+		Ready: c.edge.ready.ok.Load(), Leaving: c.leaving, Version: c.version,
+		Position: c.replica.Position(), Age: c.replica.Age(now), Reading: c.reader.Reading(), StoreLost: c.storeLost,
+	}
+	for name, n := range c.peers {
+		s.Peers = append(s.Peers, Peer{name, n.last.DataCenter, now - n.heard, n.last.Version, n.last.Position, n.last.Reading})
+	}
+	slices.SortFunc(s.Peers, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
+	c.edge.mu.Lock()
+	defer c.edge.mu.Unlock()
+	s.Flows = c.edge.forward.Flows()
+	s.Targets = c.edge.forward.Targets(now)
+	return s
+}
