--- a/cmd/rosedale-edge/main.go
+++ b/cmd/rosedale-edge/main.go
@@ -67,5 +67,5 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	go log.Reloads(reload, *config)
-	return edge.Run(ctx, boot, log.Logger)
+	return edge.Run(ctx, boot, log)
 }
--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"testing"
 
+	"rosedale.dev/rosedale/internal/direct"
 	"rosedale.dev/rosedale/internal/router"
 	"rosedale.dev/rosedale/internal/settings"
 	"rosedale.dev/rosedale/internal/wire"
@@ -130,6 +131,31 @@
 	}
 }
 
+// The pages for rosedale-edge have to name its counters, histograms and flags.
+func TestEdgeIsDocumented(t *testing.T) {
+	page := read(t, "../../docs/OPERATIONS.md")
+	for _, r := range direct.Reasons() {
+		if !strings.Contains(page, "`"+r.String()+"`") {
+			t.Errorf("packets_%s is not documented", r)
+		}
+	}
+	for _, f := range []string{"metrics.go", "times.go"} {
+		for _, line := range strings.Split(read(t, "../edge/"+f), "\n") {
+			_, rest, ok := strings.Cut(line, `("`)
+			name, _, _ := strings.Cut(rest, `"`)
+			if ok && !strings.HasSuffix(name, "_") && !strings.Contains(page, "`"+name+"`") {
+				t.Errorf("%s is not documented", name)
+			}
+		}
+	}
+	page = read(t, "../../docs/operators/platform.md")
+	for _, flag := range []string{"-config", "-check", "-log-level"} {
+		if !strings.Contains(page, "`"+flag+"`") {
+			t.Errorf("%s is not documented", flag)
+		}
+	}
+}
+
 // Every key of the settings has to stand in the reference.
 func TestEverySettingIsDocumented(t *testing.T) {
 	page := read(t, "../../docs/operators/install.md")
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -19,6 +19,8 @@
 const (
 	// tickInterval paces heartbeats to balancers near by, checks and expiry.
 	tickInterval = 100 * time.Millisecond
+	// lossTicks paces the line that says how many others were left out.
+	lossTicks = 10
 	// eventQueue holds what waits for the control goroutine. Heartbeats that
 	// do not fit are dropped, as the next one repeats them.
 	eventQueue = 256
@@ -31,7 +33,7 @@
 // those that say otherwise.
 type control struct {
 	edge    *Edge
-	log     *zap.Logger
+	log     *Logger
 	store   *platform.Store
 	checker *platform.Checker
 	udp     *net.UDPConn
@@ -143,6 +145,9 @@
 	e.forward.Tick(now)
 	e.mu.Unlock()
 	c.checkSuspects(ctx, now)
+	if c.ticks%lossTicks == 0 {
+		c.log.reportLost()
+	}
 	c.alarmIfDue(now)
 	c.heartbeat(now)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -36,7 +36,7 @@
 // Edge is a running balancer.
 type Edge struct {
 	boot  platform.Boot
-	log   *zap.Logger
+	log   *Logger
 	start time.Time
 
 	mu      sync.Mutex // guards forward
@@ -52,7 +52,7 @@
 }
 
 // Run runs a balancer until ctx ends, and then stops it gracefully.
-func Run(ctx context.Context, boot platform.Boot, log *zap.Logger) error {
+func Run(ctx context.Context, boot platform.Boot, log *Logger) error {
 	e := &Edge{boot: boot, log: log, start: time.Now()}
 	m := metrics.New()
 	e.times = newTimes(m)
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -28,6 +28,7 @@
 	lines chan []byte
 	done  chan struct{}
 	lost  atomic.Uint64
+	told  uint64 // of the lost lines
 }
 
 // NewLogger returns a logger for the VM of boot.
@@ -49,6 +50,16 @@
 // Lost returns the number of lines that were left out.
 func (l *Logger) Lost() uint64 { return l.lost.Load() }
 
+// reportLost says how many lines were left out since the last call.
+func (l *Logger) reportLost() {
+	n := l.lost.Load()
+	if n == l.told {
+		return
+	}
+	l.Warn("log lines left out", zap.Uint64("lines", n-l.told), zap.Uint64("total", n))
+	l.told = n
+}
+
 func (l *Logger) sampled(_ zapcore.Entry, d zapcore.SamplingDecision) {
 	if d&zapcore.LogDropped != 0 {
 		l.lost.Add(1)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -31,4 +31,5 @@
 	m.Counter("checks", n.checks.Load)
 	m.Counter("checks_failed", n.checksFailed.Load)
 	m.Counter("changes_applied", n.changes.Load)
+	m.Counter("log_lines_lost", e.log.Lost)
 }
