--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -56,7 +56,7 @@
 	counts     [reasons]uint64
 	sweep      time.Duration
 	nextExpiry time.Duration
-	current    bool
+	proven     time.Duration            // when the targets were last known to be all
 	strange    map[Cookie]time.Duration // unknown cookies, by when first seen
 
 	openings waits         // unanswered openings
@@ -228,32 +228,37 @@
 // Cookie returns the target's cookie.
 func (t *Target) Cookie() Cookie { return t.ID.Cookie() }
 
-// unknown decides on a flow whose target this balancer does not know. News of a
-// new target may still be on its way, so the caller repeats for a while; then
-// the target is gone, and the caller had better try again at once.
+// unknown decides on a flow whose target this balancer does not know.
+//
+// Failure: a target has just registered, another balancer opened a flow there,
+// and its news is not here yet, perhaps for seconds as the store is slow. A reset
+// would end the flow of a living target. The target was registered before its
+// first flow: if a list that was complete after the packet lacks it, it has left,
+// and the caller had better try again at once. Until then the caller repeats.
 func (f *Forwarder) unknown(now time.Duration, s *Segment) Decision {
 	first, ok := f.strange[s.Cookie]
 	if !ok && len(f.strange) < maxStrange {
 		f.strange[s.Cookie] = now
 		first = now
 	}
-	if f.current && now-first > newsTime {
+	if ok && f.proven > first+lapseMargin {
 		return resetOf(s, ResetUnknown)
 	}
 	return Decision{Verb: Drop, Reason: DroppedWait}
 }
 
 const (
-	// newsTime is how long news of a new target may take to get here: a read
-	// interval and two heartbeats between balancers, with some room.
-	newsTime = 800 * time.Millisecond
+	// lapseMargin is how much later than the packet the list has to be: a
+	// registration that lapsed by mistake has a moment to come back.
+	lapseMargin = 300 * time.Millisecond
 	// maxStrange bounds the memory of unknown cookies, which callers can forge.
 	maxStrange = 4096
+	// strangeMemory is how long an unknown cookie is remembered.
+	strangeMemory = time.Minute
 )
 
-// SetCurrent says whether the list of targets is known to be up to date. Flows
-// of unknown targets are reset only while it is.
-func (f *Forwarder) SetCurrent(current bool) { f.current = current }
+// SetProven says when the list of targets was last known to be complete.
+func (f *Forwarder) SetProven(at time.Duration) { f.proven = at }
 
 // ended says how a flow ends whose target is certainly gone: its caller gets a
 // reset at once and can try elsewhere, instead of repeating until its deadline.
--- a/internal/direct/forwarder_test.go
+++ b/internal/direct/forwarder_test.go
@@ -47,11 +47,10 @@
 func TestUnknownCookieIsResetAfterAWhile(t *testing.T) {
 	b := newBench(t, target1(1, "a"))
 	b.want(b.handle(packet(1, streams, ACK, 77)), DroppedWait)
-	b.now += newsTime + time.Millisecond
-	b.want(b.handle(packet(1, streams, ACK, 77)), ResetUnknown)
-	b.f.SetCurrent(false)
+	b.now += 5 * time.Second // the store is away: the list gets older
 	b.want(b.handle(packet(1, streams, ACK, 77)), DroppedWait)
-	b.f.SetCurrent(true)
+	b.f.SetProven(b.now)
+	b.want(b.handle(packet(1, streams, ACK, 77)), ResetUnknown)
 	b.f.PutTarget(b.now, target1(77, "a"))
 	b.want(b.handle(packet(1, streams, ACK, 77)), Forwarded)
 }
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -35,7 +35,6 @@
 func newBench(t *testing.T, targets ...Target) *bench {
 	b := &bench{t: t, f: New(Config{DataCenter: "a", FlowMaxAge: time.Minute, MaxFlows: 1000, Seed: 1}), now: time.Second}
 	b.f.SetCatalogue(testCatalogue())
-	b.f.SetCurrent(true)
 	for _, x := range targets {
 		b.f.PutTarget(b.now, x)
 	}
--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -71,6 +71,11 @@
 	f.overdue(now)
 	f.expire(now)
 	f.measure(now)
+	for c, first := range f.strange {
+		if now-first > strangeMemory {
+			delete(f.strange, c)
+		}
+	}
 	for id, x := range f.targets {
 		if x.departed && x.flows == 0 && now-x.endedAt > departedMemory {
 			f.drop(id, x)
--- a/internal/direct/replay_test.go
+++ b/internal/direct/replay_test.go
@@ -121,7 +121,6 @@
 		for range n {
 			f := New(Config{DataCenter: fmt.Sprint(c), FlowMaxAge: time.Minute, MaxFlows: 100000, Seed: seed + uint64(len(r.balancers))})
 			f.SetCatalogue(cat)
-			f.SetCurrent(true)
 			for _, t := range r.targets {
 				f.PutTarget(0, t.Target)
 			}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -24,9 +24,6 @@
 	// eventQueue holds what waits for the control goroutine. Heartbeats that
 	// do not fit are dropped, as the next one repeats them.
 	eventQueue = 256
-	// currentLimit is the age of the copy up to which the list of targets
-	// counts as up to date.
-	currentLimit = 2 * time.Second
 )
 
 // control owns all control state. Its methods run on one goroutine, but for
@@ -140,7 +137,7 @@
 	c.lease.renewIfDue(ctx, c, now)
 	e := c.edge
 	e.mu.Lock()
-	e.forward.SetCurrent(age < currentLimit)
+	e.forward.SetProven(now - age)
 	e.forward.SetPeerLoads(c.peerLoads(now))
 	e.forward.Tick(now)
 	e.mu.Unlock()
--- a/internal/standin/direct/caller.go
+++ b/internal/standin/direct/caller.go
@@ -108,8 +108,18 @@
 
 // Ask sends a request and returns its answer, repeating what is lost.
 func (fl *Flow) Ask(body string, timeout time.Duration) (string, error) {
+	return fl.AskAnywhere(body, timeout, func() netip.AddrPort { return fl.Via })
+}
+
+// Cookie returns what the flow's target and its balancers know it by.
+func (fl *Flow) Cookie() uint32 { return fl.echo }
+
+// AskAnywhere is Ask with a fabric that may choose another balancer for each
+// repeat.
+func (fl *Flow) AskAnywhere(body string, timeout time.Duration, via func() netip.AddrPort) (string, error) {
 	end := time.Now().Add(timeout)
 	for wait := 200 * time.Millisecond; ; wait *= 2 {
+		fl.Via = via()
 		fl.send(head{seq: fl.seq, ack: fl.ack, ackOn: true}, []byte(body))
 		for {
 			in, err := fl.next(min(wait, time.Until(end)))
--- a/internal/standin/direct/target.go
+++ b/internal/standin/direct/target.go
@@ -32,7 +32,9 @@
 	Opened  atomic.Int64 // openings that it answered
 	Ran     atomic.Int64 // requests that it worked on
 	Foreign atomic.Int64 // packets of flows that it does not hold
-	silent  atomic.Bool
+	// Log takes how often each request ran, by its body; nil for no record.
+	Log    *sync.Map
+	silent atomic.Bool
 
 	udp   *net.UDPConn
 	srv   *http.Server
@@ -140,10 +142,19 @@
 	case len(body) > 0 && h.seq == fl.next:
 		fl.next += uint32(len(body))
 		t.Ran.Add(1)
+		t.record(body)
 		go t.work(h, fl, body)
 	}
 }
 
+func (t *Target) record(body string) {
+	if t.Log == nil {
+		return
+	}
+	n, _ := t.Log.LoadOrStore(body, 0)
+	t.Log.Store(body, n.(int)+1)
+}
+
 // work answers a request once.
 func (t *Target) work(h head, fl *targetFlow, body string) {
 	time.Sleep(t.Work)
--- /dev/null
+++ b/test/soak/checks_test.go
@@ -0,0 +1,159 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"rosedale.dev/rosedale/internal/standin/direct"
+)
+
+var (
+	previews = netip.MustParseAddrPort("198.18.0.1:443") // may run again
+	notes    = netip.MustParseAddrPort("198.18.0.2:443") // must run once at most
+	extra    = netip.MustParseAddrPort("198.18.0.3:443") // comes and goes
+)
+
+// call is a caller: some requests on an open flow, some on flows of their own.
+func (w *world) call(rng *rand.Rand, id int) {
+	defer w.callers.Done()
+	c, err := direct.NewCaller(w.ip(1, id), dataPort)
+	if err != nil {
+		w.t.Error(err)
+		return
+	}
+	defer c.Close()
+	for n := 0; !w.stopping.Load(); n++ {
+		to := []netip.AddrPort{previews, notes}[rng.IntN(2)]
+		fl, err := c.Open(to, w.balancer(rng))
+		if err != nil {
+			w.lost.Add(1)
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		for i := range 1 + rng.IntN(8) {
+			if !w.ask(rng, fl, to, fmt.Sprintf("c%d-%d-%d", id, n, i)) {
+				break
+			}
+			time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
+		}
+		fl.Close()
+	}
+}
+
+// balancer is what the routers choose: a ready one, or any if few are ready.
+func (w *world) balancer(rng *rand.Rand) netip.AddrPort {
+	var up []*node
+	for _, n := range w.nodes {
+		if n.ready.Load() {
+			up = append(up, n)
+		}
+	}
+	if len(up) < balancers/2 {
+		up = w.nodes
+	}
+	return netip.AddrPortFrom(up[rng.IntN(len(up))].addr, dataPort)
+}
+
+// ask sends one request on an open flow, whose packets may come to another
+// balancer than before.
+func (w *world) ask(rng *rand.Rand, fl *direct.Flow, to netip.AddrPort, body string) bool {
+	w.asked.Add(1)
+	fl.Via = w.balancer(rng)
+	answer, err := fl.AskAnywhere(body, 4*time.Second, func() netip.AddrPort { return w.balancer(rng) })
+	if err != nil {
+		w.lost.Add(1)
+		w.mayEnd(fl, err, body)
+		return false
+	}
+	w.answered.Add(1)
+	got, name, _ := strings.Cut(answer, " by ")
+	if got != body {
+		w.t.Errorf("request %s got the answer of %s", body, got)
+	}
+	if x := w.target(name); x == nil || x.service != map[netip.AddrPort]string{previews: "catalogue", notes: "scan-store"}[to] {
+		w.t.Errorf("request %s to %v was answered by %s", body, to, name)
+	}
+	return true
+}
+
+// mayEnd checks that a flow ended only with its target.
+func (w *world) mayEnd(fl *direct.Flow, err error, body string) {
+	if !errors.Is(err, direct.ErrReset) {
+		return
+	}
+	if x := w.holder(fl); x != nil && !x.ended.Load() {
+		w.t.Errorf("flow of request %s was reset while its target %s lives", body, x.Name())
+	}
+}
+
+// holder returns the target whose cookie a flow carries.
+func (w *world) holder(fl *direct.Flow) *tracked {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, x := range w.targets {
+		if uint32(x.ID) == fl.Cookie() {
+			return x
+		}
+	}
+	return nil
+}
+
+func (w *world) target(name string) *tracked {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, x := range w.targets {
+		if x.Name() == name {
+			return x
+		}
+	}
+	return nil
+}
+
+// stop ends the callers.
+func (w *world) stop() {
+	w.stopping.Store(true)
+	w.callers.Wait()
+}
+
+// settled checks, after all faults, that every balancer has the newest desired
+// state and list of targets in force, and that no request ran twice.
+func (w *world) settled() {
+	c, err := direct.NewCaller(w.ip(1, 99), dataPort)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer c.Close()
+	before := map[*tracked]int64{}
+	for _, x := range w.targets {
+		before[x] = x.Opened.Load()
+	}
+	for _, n := range w.nodes {
+		via := netip.AddrPortFrom(n.addr, dataPort)
+		for i := range 12 {
+			to := []netip.AddrPort{previews, notes, extra}[i%3]
+			fl, err := c.Open(to, via)
+			if err == nil {
+				_, err = fl.Ask("settled", 2*time.Second)
+				fl.Close()
+			}
+			if err != nil {
+				w.t.Errorf("balancer %s, address %v, after all faults: %v", n.addr, to, err)
+			}
+		}
+	}
+	for _, x := range w.targets {
+		if n := x.Opened.Load() - before[x]; n > 0 && (x.ended.Load() || !x.draining.IsZero()) {
+			w.t.Errorf("target %s, draining or gone, got %d new flows", x.Name(), n)
+		}
+	}
+	w.ran.Range(func(body, times any) bool {
+		if n := times.(int); n > 1 && body != "settled" {
+			w.t.Errorf("request %v ran %d times", body, n)
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/test/soak/faults_test.go
@@ -0,0 +1,178 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"rosedale.dev/rosedale/internal/standin/direct"
+)
+
+// fault harms the world and returns how to end that, or nil.
+type fault struct {
+	name string
+	do   func(*world, *rand.Rand) func()
+}
+
+// faults come in any order, overlap and end after a random time.
+var faults = []fault{
+	{"kill", func(w *world, r *rand.Rand) func() { return w.end(r, syscall.SIGKILL) }},
+	{"term", func(w *world, r *rand.Rand) func() { return w.end(r, syscall.SIGTERM) }},
+	{"pause", func(w *world, r *rand.Rand) func() {
+		n := w.pick(r)
+		if n == nil {
+			return nil
+		}
+		n.away = true
+		_ = n.cmd.Process.Signal(syscall.SIGSTOP)
+		return func() {
+			_ = n.cmd.Process.Signal(syscall.SIGCONT)
+			n.away = false
+		}
+	}},
+	{"hup", func(w *world, r *rand.Rand) func() {
+		if n := w.pick(r); n != nil {
+			_ = n.cmd.Process.Signal(syscall.SIGHUP)
+		}
+		return nil
+	}},
+	{"store busy", func(w *world, _ *rand.Rand) func() { return w.failStore(direct.Busy) }},
+	{"store silent", func(w *world, _ *rand.Rand) func() { return w.failStore(direct.Silent) }},
+	{"store loses answers", func(w *world, _ *rand.Rand) func() { return w.failStore(direct.Lost) }},
+	{"store forgets", func(w *world, _ *rand.Rand) func() { w.store.Forget(); return nil }},
+	{"link delayed", func(w *world, r *rand.Rand) func() {
+		n := w.nodes[r.IntN(len(w.nodes))]
+		n.relay.Delay(time.Duration(r.IntN(500)) * time.Millisecond)
+		return func() { n.relay.Delay(0) }
+	}},
+	{"link reset", func(w *world, r *rand.Rand) func() { w.nodes[r.IntN(len(w.nodes))].relay.Reset(); return nil }},
+	{"link silenced", func(w *world, r *rand.Rand) func() { w.nodes[r.IntN(len(w.nodes))].relay.Silence(); return nil }},
+	{"link refused", func(w *world, r *rand.Rand) func() {
+		n := w.nodes[r.IntN(len(w.nodes))]
+		n.relay.Refuse(true)
+		return func() { n.relay.Refuse(false) }
+	}},
+	{"target crashes", func(w *world, r *rand.Rand) func() {
+		if x := w.victim(r); x != nil {
+			x.ended.Store(true)
+			x.Stop()
+		}
+		return nil
+	}},
+	{"target silent", func(w *world, r *rand.Rand) func() {
+		if x := w.victim(r); x != nil {
+			x.ended.Store(true)
+			x.Silence()
+		}
+		return nil
+	}},
+	{"target drains", func(w *world, r *rand.Rand) func() {
+		if x := w.victim(r); x != nil {
+			x.draining = time.Now()
+			x.Drain()
+		}
+		return nil
+	}},
+	{"target added", func(w *world, r *rand.Rand) func() {
+		w.addTarget([]string{"catalogue", "scan-store"}[r.IntN(2)])
+		return nil
+	}},
+	{"desired state changes", func(w *world, r *rand.Rand) func() {
+		w.extra = r.IntN(2) == 0
+		w.change()
+		return nil
+	}},
+}
+
+// harm begins a fault and ends it after a while.
+func (w *world) harm(r *rand.Rand) {
+	f := faults[r.IntN(len(faults))]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.done[f.name]++
+	undo := f.do(w, r)
+	if undo == nil {
+		return
+	}
+	time.AfterFunc(time.Duration(500+r.IntN(2500))*time.Millisecond, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		undo()
+	})
+}
+
+// pick returns a balancer that runs, or nil if too few do.
+func (w *world) pick(r *rand.Rand) *node {
+	var up []*node
+	for _, n := range w.nodes {
+		if !n.away {
+			up = append(up, n)
+		}
+	}
+	if len(up) <= balancers/2 {
+		return nil
+	}
+	return up[r.IntN(len(up))]
+}
+
+// end ends a balancer's process, which starts again some time later.
+func (w *world) end(r *rand.Rand, s syscall.Signal) func() {
+	n := w.pick(r)
+	if n == nil {
+		return nil
+	}
+	n.away = true
+	cmd := n.cmd
+	_ = cmd.Process.Signal(s)
+	return func() {
+		if s == syscall.SIGTERM {
+			began := time.Now()
+			_ = cmd.Wait() // its exit code is checked below
+			if took := time.Since(began); took > 4*time.Second {
+				w.t.Errorf("a planned stop took %v more", took)
+			}
+			if code := cmd.ProcessState.ExitCode(); code != 0 {
+				w.t.Errorf("a planned stop ended with %d", code)
+			}
+		} else {
+			_ = cmd.Wait() // killed
+		}
+		w.start(n)
+	}
+}
+
+func (w *world) failStore(x direct.Fault) func() {
+	w.store.FailAll(x)
+	return func() { w.store.FailAll(direct.Healthy) }
+}
+
+// victim returns a target that nothing was done to, if its service has enough.
+func (w *world) victim(r *rand.Rand) *tracked {
+	x := w.targets[r.IntN(len(w.targets))]
+	left := 0
+	for _, o := range w.targets {
+		if o.service == x.service && !o.ended.Load() && o.draining.IsZero() {
+			left++
+		}
+	}
+	if left <= 2 || x.ended.Load() || !x.draining.IsZero() {
+		return nil
+	}
+	return x
+}
+
+// heal waits for the faults under way to end.
+func (w *world) heal() {
+	const longest = 3500 * time.Millisecond
+	time.Sleep(longest)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.store.FailAll(direct.Healthy)
+	for _, x := range w.targets {
+		if x.ended.Load() {
+			w.store.Remove("servers/" + x.Name()) // its heartbeats have stopped
+		}
+	}
+	w.extra = true
+	w.change()
+}
--- /dev/null
+++ b/test/soak/world_test.go
@@ -0,0 +1,197 @@
+package soak
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"rosedale.dev/rosedale/internal/standin/direct"
+)
+
+// Size of a soaked deployment.
+const (
+	balancers = 5
+	targets   = 6 // of each service
+	dataPort  = 18500
+)
+
+// world is a deployment under faults.
+type world struct {
+	t     *testing.T
+	block int
+	dir   string
+	store *direct.Store
+
+	mu       sync.Mutex
+	nodes    []*node
+	targets  []*tracked
+	version  int
+	extra    bool // the extra route is in the desired state
+	changed  time.Time
+	done     map[string]int
+	stopping atomic.Bool
+	callers  sync.WaitGroup
+	ran      sync.Map // requests that ran, by their body
+
+	asked, answered, lost atomic.Int64
+}
+
+// node is a balancer's process.
+type node struct {
+	addr  netip.Addr
+	boot  string
+	relay *direct.Relay
+	cmd   *exec.Cmd
+	out   *os.File
+	ready atomic.Bool
+	away  bool // killed or stopped on purpose
+}
+
+// tracked is a target and what was done to it.
+type tracked struct {
+	*direct.Target
+	service  string
+	draining time.Time
+	ended    atomic.Bool // crashed, silent or gone: its flows may be reset
+}
+
+func (w *world) ip(role, i int) netip.Addr {
+	const nets, least = 200, 20
+	n := byte(least + os.Getpid()%nets)
+	return netip.AddrFrom4([4]byte{127, n, byte(w.block*3 + role), byte(i + 1)})
+}
+
+func newWorld(t *testing.T, block int) *world {
+	t.Helper()
+	w := &world{t: t, block: block, done: map[string]int{}}
+	w.dir = t.ArtifactDir()
+	var err error
+	if w.store, err = direct.NewStore(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.store.Close)
+	w.change()
+	for range targets {
+		w.addTarget("catalogue")
+		w.addTarget("scan-store")
+	}
+	for i := range balancers {
+		w.addNode(i)
+	}
+	for _, n := range w.nodes {
+		for end := time.Now().Add(5 * time.Second); !n.ready.Load(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("balancer is not ready")
+			}
+		}
+	}
+	return w
+}
+
+func (w *world) addTarget(service string) {
+	n := len(w.targets)
+	addr := netip.AddrPortFrom(w.ip(2, n), 8080)
+	x, err := direct.NewTarget(w.store, uint64(0xb000000001+n), addr.String(), service, "a", dataPort)
+	if err != nil {
+		w.t.Error(err)
+		return
+	}
+	w.t.Cleanup(x.Stop)
+	x.Log = &w.ran
+	w.targets = append(w.targets, &tracked{Target: x, service: service})
+}
+
+func (w *world) addNode(i int) {
+	relay, err := direct.NewRelay(w.store.Addr)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(relay.Close)
+	n := &node{addr: w.ip(0, i), relay: relay, boot: filepath.Join(w.dir, "boot-"+w.ip(0, i).String()+".json")}
+	var seeds []string
+	for _, o := range w.nodes {
+		seeds = append(seeds, netip.AddrPortFrom(o.addr, 17002).String())
+	}
+	b, err := json.Marshal(map[string]any{
+		"nodeName": n.addr.String(), "zone": "a",
+		"listen": map[string]string{"datagramAddr": netip.AddrPortFrom(n.addr, dataPort).String(),
+			"readyAddr": netip.AddrPortFrom(n.addr, 17001).String(), "control": netip.AddrPortFrom(n.addr, 17002).String()},
+		"seeds": seeds[:min(len(seeds), 3)], "heartbeatIntervalMs": 1000, "limits": map[string]any{"memoryMb": 100, "linkMbps": 1000},
+		"bounds":   map[string]any{"drainMs": 3000, "graceS": 4, "configApplyMs": 3000, "flowMaxS": 60},
+		"platform": map[string]any{"address": relay.Addr.String(), "ttlMinMs": 1000},
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if err := os.WriteFile(n.boot, b, 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	if n.out, err = os.Create(n.boot + ".log"); err != nil {
+		w.t.Fatal(err)
+	}
+	w.nodes = append(w.nodes, n)
+	w.start(n)
+	go w.probe(n)
+}
+
+// start runs a balancer's program. Only processes started here are ever ended.
+func (w *world) start(n *node) {
+	n.cmd = exec.Command("../../bin/rosedale-edge")
+	n.cmd.Env = append(os.Environ(), "ROSEDALE_BOOT="+n.boot)
+	n.cmd.Stdout, n.cmd.Stderr = n.out, n.out
+	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := n.cmd.Start(); err != nil {
+		w.t.Error(err)
+		return
+	}
+	n.away = false
+	cmd := n.cmd
+	w.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait() // killed: the error says no more
+	})
+}
+
+// probe asks a balancer for its readiness, as the platform's routers do.
+func (w *world) probe(n *node) {
+	client := http.Client{Timeout: 400 * time.Millisecond}
+	for misses := 0; !w.stopping.Load(); time.Sleep(200 * time.Millisecond) {
+		resp, err := client.Get("http://" + netip.AddrPortFrom(n.addr, 17001).String() + "/readiness")
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		if err != nil || resp.StatusCode != http.StatusOK {
+			misses++
+		} else {
+			misses = 0
+		}
+		n.ready.Store(misses < 2 && (misses > 0 || err == nil))
+	}
+}
+
+// change writes a new desired state, with or without the extra route.
+func (w *world) change() {
+	w.version += 1 + w.version%3
+	routes := []map[string]any{route("198.18.0.1", "catalogue", "safe"), route("198.18.0.2", "scan-store", "unsafe")}
+	if w.extra {
+		routes = append(routes, route("198.18.0.3", "catalogue", "safe"))
+	}
+	w.store.Put("op/config", map[string]any{
+		"version": w.version, "routes": routes,
+		"services": []map[string]any{{"name": "catalogue", "healthPath": "/health"}, {"name": "scan-store", "healthPath": "/health"}},
+		"limits":   map[string]any{"idleTimeoutMs": 12000},
+	})
+	w.changed = time.Now()
+}
+
+func route(host, service, kind string) map[string]any {
+	return map[string]any{"name": host, "host": host, "prefix": "/443/", "type": kind, "timeoutMs": 2500, "goalMs": 150, "priority": 1, "service": service}
+}
