Follow peers while own reads fail; ask others when the copy is old

TestFailingReaderFollowsPeers and TestCatalogueIsInForceEverywhere, which had not cut the balancer off at all (its connections came from another address), failed before.

--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,6 +22,14 @@
 	changesPath  = "/changes"
 	// maxChanges bounds an answer in bytes.
 	maxChanges = 16 << 20
+	// askTicks paces questions to other balancers at a start, in ticks.
+	askTicks = 2
+	// askOldTicks paces them while the copy is old: an outage of the store makes
+	// all balancers ask.
+	askOldTicks = 6
+	// oldCopy is the age of the copy from which on they are asked: the first in
+	// rank has taken over reading by then.
+	oldCopy = 1800 * time.Millisecond
 	// seedTick is the tick at which a starting balancer asks its seeds: the store
 	// has answered by then if it can, and asking both costs 2 ms of a processor.
 	seedTick = 2
@@ -181,15 +190,28 @@
 	c.applyChanges(c.replica.Apply(items, ch.Position, proven), from.String(), asked)
 }
 
-// fetchIfUnloaded asks the seeds in turn while nothing is known at all, as the
-// store may turn this balancer away.
-func (c *control) fetchIfUnloaded(ctx context.Context) {
-	seeds := c.edge.boot.Seeds
-	if c.replica.Loaded() || len(seeds) == 0 || c.ticks < seedTick {
+// fetchIfOld asks other balancers in turn while nothing is known at all, or the
+// copy gets old and this balancer's own reads do not help.
+//
+// Failure: the store turns a balancer away before it could register. It shows as
+// a balancer that no peer knows, hears no heartbeat and keeps its first catalogue
+// for ever. Its seeds and those it knows by an old listing can tell it more.
+func (c *control) fetchIfOld(ctx context.Context, now time.Duration) {
+	pause := askTicks
+	if c.replica.Loaded() {
+		pause = askOldTicks
+	}
+	if c.ticks < seedTick || c.ticks%pause != 0 {
 		return
 	}
-	c.seedTurn++
-	if s := seeds[c.seedTurn%len(seeds)]; s != c.edge.boot.Control {
-		c.fetchChanges(ctx, s)
+	if c.replica.Loaded() && (c.replica.Age(now) < oldCopy || c.reader.Succeeding()) {
+		return
+	}
+	others := slices.Concat(c.edge.boot.Seeds, c.fleet.Near(), c.fleet.Far())
+	others = slices.DeleteFunc(others, func(a netip.AddrPort) bool { return a == c.edge.boot.Control })
+	if len(others) == 0 {
+		return
 	}
+	c.askTurn++
+	c.fetchChanges(ctx, others[c.askTurn%len(others)])
 }
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -53,10 +53,9 @@
 	peers     map[string]*neighbour // by name
 	readAt    time.Duration         // when the next read of the store is due
 	readBusy  bool
-	readOK    bool // the last read succeeded
 	readDone  time.Duration
 	fetchBusy bool
-	seedTurn  int
+	askTurn   int          // which balancer to ask next
 	fulls     atomic.Int64 // full copies being sent
 	version   int64        // of the catalogue in force
 	lease     lease
@@ -136,7 +135,7 @@
 	now := c.now()
 	c.ticks++
 	c.readIfDue(ctx, now)
-	c.fetchIfUnloaded(ctx)
+	c.fetchIfOld(ctx, now)
 	age := c.replica.Age(now)
 	c.edge.proven.Store(int64(now - age))
 	c.edge.times.age.RecordDuration(age)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -63,18 +62,13 @@
 	}
 }
 
-// The operator adds and drops routes while one balancer is turned away by the
-// store. All balancers have to follow within the bound.
+// The operator adds and drops routes while the store cannot be reached by one
+// balancer, the first in rank, which reads for all. All balancers have to follow
+// within the bound, that one through its peers.
 func TestCatalogueIsInForceEverywhere(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 3)
-	refused := d.balancers[0].boot.Data.Addr() // the first in rank, which reads for all
-	d.store.Fail(func(client netip.Addr) direct.Fault {
-		if client == refused {
-			return direct.Busy
-		}
-		return direct.Healthy
-	})
+	d.balancers[0].link.Refuse(true)
 	d.store.Put(platform.CatalogueKey, desired(5, scans, newRoute))
 	time.Sleep(d.balancers[0].boot.Apply)
 	for i, b := range d.balancers {
@@ -87,6 +81,30 @@
 	}
 }
 
+// A balancer that is not the first reads for itself for a while, as it heard
+// nobody, and its reads fail. Once it hears others again it has to follow them,
+// not wait for its own reads.
+func TestFailingReaderFollowsPeers(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 3)
+	last := d.balancers[2]
+	for _, b := range d.balancers { // a store outage makes all of them read
+		b.link.Refuse(true)
+	}
+	time.Sleep(3 * time.Second)
+	for _, b := range d.balancers[:2] {
+		b.link.Refuse(false)
+	}
+	d.store.Put(platform.CatalogueKey, desired(6, scans, newRoute))
+	time.Sleep(last.boot.Apply)
+	if _, err := d.ask(last, newRoute); err != nil {
+		t.Errorf("route that was added: %v", err)
+	}
+	if _, err := d.ask(last, previews); !errors.Is(err, direct.ErrReset) {
+		t.Errorf("route that was dropped: %v, want a reset", err)
+	}
+}
+
 // The store forgets its history between two reads. Balancers list everything
 // again and learn what they missed.
 func TestHistoryIsForgotten(t *testing.T) {
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -34,6 +34,8 @@
 // running is a balancer in this process.
 type running struct {
 	boot platform.Boot
+	// link carries the balancer's connections to the store.
+	link *direct.Relay
 	stop context.CancelFunc
 	done chan error
 	out  *output
@@ -144,15 +146,20 @@
 // start runs a balancer at an address.
 func (d *deployment) start(ip netip.Addr) *running {
 	d.t.Helper()
-	b := &running{out: &output{}, done: make(chan error, 1)}
+	link, err := direct.NewRelay(d.store.Addr)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(link.Close)
+	b := &running{link: link, out: &output{}, done: make(chan error, 1)}
 	b.boot = platform.Boot{
 		VM: ip.String(), DataCenter: "a",
 		Data: netip.AddrPortFrom(ip, d.dataPort), Ready: netip.AddrPortFrom(ip, 17001), Control: netip.AddrPortFrom(ip, 17002),
-		Store: d.store.Addr, Heartbeat: time.Second, Grace: 4 * time.Second, Drain: 3 * time.Second, Apply: 3 * time.Second,
+		Store: link.Addr, Heartbeat: time.Second, Grace: 4 * time.Second, Drain: 3 * time.Second, Apply: 3 * time.Second,
 		FlowMaxAge: time.Minute, MemoryMB: 100, LinkMbps: 1000,
 	}
-	for _, o := range d.balancers {
-		b.boot.Seeds = append(b.boot.Seeds, o.boot.Control)
+	for i := range 3 {
+		b.boot.Seeds = append(b.boot.Seeds, netip.AddrPortFrom(address(d.net, balancerNet, i+1), b.boot.Control.Port()))
 	}
 	log, err := NewLogger(b.out, "info", b.boot)
 	if err != nil {
--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -69,7 +69,7 @@
 		h.Position = c.replica.Position()
 		h.LastChange = c.replica.LastChange()
 		h.Age = c.replica.Age(now)
-		h.Reading = c.reader.Reading() && c.readOK && now-c.readDone < peerSilent
+		h.Reading = c.reader.Succeeding() && now-c.readDone < peerSilent
 	}
 	e := c.edge
 	e.mu.Lock()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -57,7 +57,7 @@
 		c.peers[h.From] = n
 	}
 	n.last, n.heard = h, now
-	if h.Position > 0 && !c.replica.Confirm(h.Position, h.LastChange, now-h.Age) && !c.reader.Reading() {
+	if h.Position > 0 && !c.replica.Confirm(h.Position, h.LastChange, now-h.Age) && !c.reader.Succeeding() {
 		c.fetchChanges(ctx, h.Control)
 	}
 	c.found(now, h)
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -78,8 +78,7 @@
 	if l.full && l.err != nil && c.replica.Loaded() {
 		return // a peer was faster
 	}
-	c.readOK = l.err == nil
-	c.readAt = max(l.asked, now-replica.ReadInterval) + c.reader.Done(c.readOK)
+	c.readAt = max(l.asked, now-replica.ReadInterval) + c.reader.Done(l.err == nil)
 	c.dependency(l.err)
 	if l.err != nil {
 		c.edge.counts.readFailures.Add(1)
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -47,11 +47,15 @@
 
 // Decide returns whether to read now. age is the copy's, and served tells
 // whether a balancer that comes before this one reads the store with success.
+//
+// Failure: a balancer once had to read, its own reads fail, and it goes on with
+// them although others keep it current. It shows as a copy that stays old on one
+// balancer alone. A reader whose reads fail stops as long as its copy is fresh.
 func (r *Reader) Decide(p Place, age time.Duration, served bool) bool {
 	switch {
 	case p == Place{}:
 		r.reading = true
-	case served:
+	case served, r.failed > 0 && age <= p.limit():
 		r.reading = false
 	case age > p.limit():
 		r.reading = true
@@ -59,6 +63,10 @@
 	return r.reading
 }
 
+// Succeeding reports whether this balancer reads the store and its last read
+// succeeded: others need not tell it what is new.
+func (r *Reader) Succeeding() bool { return r.reading && r.failed == 0 }
+
 func (p Place) limit() time.Duration {
 	return firstLimit + time.Duration(min(p.Centre, lastCentre))*centreStep + time.Duration(min(p.Rank, lastRank))*rankStep
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -188,6 +188,23 @@
 	}
 }
 
+// A balancer's own reads fail while others keep its copy fresh: it stops, and
+// begins again when the copy gets old.
+func TestFailingReaderStops(t *testing.T) {
+	r := Reader{reading: true}
+	r.Done(false)
+	if r.Decide(Place{Rank: 2}, 500*time.Millisecond, false) || r.Succeeding() {
+		t.Error("reads on although its reads fail and its copy is fresh")
+	}
+	if !r.Decide(Place{Rank: 2}, 3*time.Second, false) {
+		t.Error("does not try again with an old copy")
+	}
+	r.Done(true)
+	if !r.Succeeding() {
+		t.Error("a read succeeded")
+	}
+}
+
 func TestFailedReadsSlowDown(t *testing.T) {
 	var r Reader
 	last := time.Duration(0)
