--- /dev/null
+++ b/internal/direct/model_test.go
@@ -0,0 +1,273 @@
+package direct
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// model is a random run of several balancers whose views of targets and routes
+// differ, with the flows as callers and targets see them. It checks what must
+// hold whatever the order of events:
+//
+//   - a packet goes to no target but the flow's own, and an opening only to a
+//     target of the route's service;
+//   - a balancer resets a flow only if its target has ended, or its route is gone;
+//   - counts at targets never get negative.
+type model struct {
+	now       time.Duration
+	balancers []*Forwarder
+	versions  []bool // whether a balancer still has the extra route
+	targets   []*modelTarget
+	flows     []*modelFlow
+	nextPort  uint16
+	// careless makes balancers take any finding of a peer for their own, as a
+	// broken variant that the model has to catch.
+	careless bool
+	fail     func(format string, args ...any)
+}
+
+type modelTarget struct {
+	Target
+	ended bool
+}
+
+type modelFlow struct {
+	key    FlowKey
+	target *modelTarget // where the caller's first packet was accepted
+	seq    uint32
+	ack    uint32
+	over   bool
+}
+
+var extraRoute = netip.MustParseAddrPort("198.18.0.3:443")
+
+func newModel(balancers int) *model {
+	m := &model{now: time.Minute}
+	for i := range balancers {
+		f := New(Config{DataCenter: "a", FlowMaxAge: time.Minute, MaxFlows: 50, Seed: uint64(i)})
+		m.balancers = append(m.balancers, f)
+		m.versions = append(m.versions, true)
+		m.setCatalogue(i, true)
+	}
+	for range 3 {
+		m.addTarget("s")
+	}
+	m.addTarget("x")
+	for i := range m.balancers {
+		m.learn(i)
+	}
+	return m
+}
+
+func (m *model) setCatalogue(i int, extra bool) {
+	c := testCatalogue()
+	if extra {
+		c.Routes[extraRoute] = Route{Name: "extra", Address: extraRoute, Backends: []Backend{{"x", 1}}, Kind: Idempotent}
+	}
+	m.versions[i] = extra
+	m.balancers[i].SetCatalogue(c)
+}
+
+// addTarget starts a target; its address is one that another may have had.
+func (m *model) addTarget(service string) {
+	t := &modelTarget{Target: target1(TargetID(0xc000000001+len(m.targets)), "a")}
+	t.Service = service
+	t.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(m.targets) % 5)}), 80)
+	m.targets = append(m.targets, t)
+}
+
+// learn brings a balancer's list up to date, as a listing does.
+func (m *model) learn(i int) {
+	f := m.balancers[i]
+	for _, t := range m.targets {
+		if t.ended {
+			f.RemoveTarget(m.now, t.ID)
+		} else {
+			f.PutTarget(m.now, t.Target)
+		}
+	}
+	f.SetProven(m.now)
+}
+
+func (m *model) byID(id TargetID) *modelTarget {
+	for _, t := range m.targets {
+		if t.ID == id {
+			return t
+		}
+	}
+	return nil
+}
+
+// open is a caller's opening through a balancer, and its first packet through
+// another one.
+func (m *model) open(t *rapid.T, to netip.AddrPort, first, second int) {
+	m.nextPort++
+	fl := &modelFlow{key: FlowKey{netip.AddrPortFrom(netip.MustParseAddr("100.64.0.1"), m.nextPort), to}, seq: 101, ack: 1000}
+	d := m.balancers[first].Handle(m.now, &Segment{Caller: fl.key.Caller, Address: to, Seq: 100, Flags: SYN})
+	if d.Verb != Forward {
+		return
+	}
+	want := "s"
+	if to == extraRoute {
+		want = "x"
+	}
+	if d.Target.Service != want {
+		m.fail("opening of %v went to service %s", to, d.Target.Service)
+	}
+	fl.target = m.byID(d.Target.ID)
+	if fl.target.ended {
+		return
+	}
+	m.now += 6 * time.Millisecond
+	m.flows = append(m.flows, fl)
+	m.send(t, fl, second, 0, true)
+}
+
+// send is a packet of an open flow through a balancer.
+func (m *model) send(t *rapid.T, fl *modelFlow, i, length int, progress bool) {
+	s := &Segment{Caller: fl.key.Caller, Address: fl.key.Address, Seq: fl.seq, Len: length, Cookie: fl.target.ID.Cookie(), Flags: ACK}
+	if progress && !fl.target.ended {
+		fl.ack += 500
+	}
+	s.Ack = fl.ack
+	d := m.balancers[i].Handle(m.now, s)
+	switch d.Verb {
+	case Forward:
+		if d.Target.ID != fl.target.ID {
+			m.fail("packet of a flow at %x went to %x", uint64(fl.target.ID), uint64(d.Target.ID))
+		}
+	case Reset:
+		fl.over = true
+		m.mayReset(t, fl, i, d.Reason)
+	}
+}
+
+func (m *model) mayReset(t *rapid.T, fl *modelFlow, i int, why Reason) {
+	routeGone := fl.key.Address == extraRoute && !m.versions[i]
+	if !fl.target.ended && !routeGone {
+		m.fail("%v: a flow of a living target was reset", why)
+	}
+}
+
+func (m *model) checked(t *rapid.T, i int, x *modelTarget, reachable bool) {
+	finding := Alive
+	switch {
+	case x.ended:
+		finding = Gone
+	case !reachable:
+		return // a cut: judged only while other targets show life, see suspect_test.go
+	}
+	for _, seg := range m.balancers[i].Checked(m.now, x.ID, finding).Resets {
+		for _, fl := range m.flows {
+			if fl.key == seg.Flow() {
+				fl.over = true
+				m.mayReset(t, fl, i, ResetSilent)
+			}
+		}
+	}
+}
+
+func (m *model) step(t *rapid.T) {
+	i := rapid.IntRange(0, len(m.balancers)-1).Draw(t, "balancer")
+	j := rapid.IntRange(0, len(m.balancers)-1).Draw(t, "other balancer")
+	x := m.targets[rapid.IntRange(0, len(m.targets)-1).Draw(t, "target")]
+	switch rapid.IntRange(0, 10).Draw(t, "event") {
+	case 0, 1:
+		to := []netip.AddrPort{streams, notes, extraRoute}[rapid.IntRange(0, 2).Draw(t, "address")]
+		m.open(t, to, i, j)
+	case 2, 3, 4:
+		if fl := m.pick(t); fl != nil {
+			m.send(t, fl, i, rapid.SampledFrom([]int{0, 300}).Draw(t, "length"), rapid.Bool().Draw(t, "progress"))
+		}
+	case 5:
+		m.now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
+		m.balancers[i].Tick(m.now)
+	case 6:
+		m.learn(i)
+	case 7:
+		if len(m.targets) < 12 {
+			m.addTarget(rapid.SampledFrom([]string{"s", "x"}).Draw(t, "service"))
+		}
+	case 8:
+		x.Draining = true
+		x.ended = rapid.Bool().Draw(t, "ended") || x.ended
+	case 9:
+		for _, want := range m.balancers[i].Suspects(m.now) {
+			m.checked(t, i, m.byID(want.ID), true)
+		}
+		if m.careless {
+			m.balancers[j].Checked(m.now, x.ID, Gone)
+			return
+		}
+		m.balancers[j].PeerSuspects(m.now, x.ID)
+	case 10:
+		m.setCatalogue(i, rapid.Bool().Draw(t, "extra route"))
+	}
+}
+
+func (m *model) pick(t *rapid.T) *modelFlow {
+	var open []*modelFlow
+	for _, fl := range m.flows {
+		if !fl.over {
+			open = append(open, fl)
+		}
+	}
+	if len(open) == 0 {
+		return nil
+	}
+	return open[rapid.IntRange(0, len(open)-1).Draw(t, "flow")]
+}
+
+func (m *model) invariants(t *rapid.T) {
+	for i, f := range m.balancers {
+		for id, x := range f.targets {
+			if x.flows < 0 || x.busy < 0 {
+				m.fail("balancer %d counts %d flows and %d requests at %x", i, x.flows, x.busy, uint64(id))
+			}
+		}
+		if f.Flows() > 50 {
+			m.fail("balancer %d has %d flows in its table", i, f.Flows())
+		}
+	}
+}
+
+func run(m *model, t *rapid.T) {
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		m.step(t)
+		m.invariants(t)
+	}
+}
+
+// Views of targets and routes differ, flows move between balancers, targets come,
+// leave, and their addresses are used again. No caller may notice but those whose
+// target or route is gone.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(3)
+		m.fail = t.Fatalf
+		run(m, t)
+	})
+}
+
+// A balancer that took its peers' findings for its own would reset living flows:
+// the model has to see that.
+func TestModelCatchesCarelessPeers(t *testing.T) {
+	broken := 0
+	random := rapid.Custom(func(t *rapid.T) int {
+		m := newModel(3)
+		m.careless = true
+		m.fail = func(string, ...any) { broken++ }
+		run(m, t)
+		return 0
+	})
+	for seed := range 200 {
+		random.Example(seed)
+	}
+	if broken == 0 {
+		t.Error("200 random runs of the broken variant kept every promise")
+	}
+	t.Logf("the broken variant broke a promise %d times", broken)
+}
