--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -55,10 +55,11 @@
 	progress  time.Duration // last sign of life of any target
 	counts    [reasons]uint64
 	nextSweep time.Duration
-	measured  time.Duration            // when the work of flows was
-	suspects  map[*target]bool         // those that Suspects has to look at
-	proven    time.Duration            // when the targets were last known to be all
-	strange   map[Cookie]time.Duration // unknown cookies, by when first seen
+	measured  time.Duration             // when the work of flows was
+	suspects  map[*target]bool          // those that Suspects has to look at
+	proven    time.Duration             // when the targets were last known to be all
+	strange   map[Cookie]time.Duration  // unknown cookies, by when first seen
+	routeless map[FlowKey]time.Duration // open flows without a route, by when first seen
 
 	openings waits         // unanswered openings
 	requests waits         // requests without a sign of their answer
@@ -84,6 +85,7 @@
 		services:   map[string]*service{},
 		flows:      map[FlowKey]*flow{},
 		strange:    map[Cookie]time.Duration{},
+		routeless:  map[FlowKey]time.Duration{},
 		suspects:   map[*target]bool{},
 		usual:      firstUsual,
 		times:      c.Times,
@@ -115,16 +117,30 @@
 		return f.following(now, s)
 	}
 	route, ok := f.catalogue.Routes[s.Address]
-	if !ok {
+	switch {
+	case !ok && (s.Flags.Has(SYN) || f.dropped(now, s)):
 		f.forget(s.Flow())
 		return resetOf(s, ResetNoRoute)
-	}
-	if s.Flags.Has(SYN) {
+	case s.Flags.Has(SYN):
 		return f.opening(now, s, &route)
 	}
 	return f.following(now, s)
 }
 
+// dropped reports whether the route of an open flow is gone for certain.
+//
+// Failure: a route has just been added, a balancer that knows it opened a flow,
+// and its packets come to one that lacks the new version. A reset would end a
+// living flow. If a catalogue that was in force after the flow's packet lacks the
+// route, it was dropped; until then the flow goes on by its cookie.
+func (f *Forwarder) dropped(now time.Duration, s *Segment) bool {
+	first, ok := f.routeless[s.Flow()]
+	if !ok && len(f.routeless) < maxStrange {
+		f.routeless[s.Flow()] = now
+	}
+	return ok && f.proven > first+lapseMargin
+}
+
 // opening places a flow. A repeated opening goes to another target: the one
 // tried before has had 200 ms or more to answer.
 //
@@ -133,8 +149,15 @@
 func (f *Forwarder) opening(now time.Duration, s *Segment, r *Route) Decision {
 	old := f.flows[s.Flow()]
 	var tried [2]TargetID
+	if old != nil && old.open && !old.ended {
+		// A late copy: without the cookie its answer would wipe out the caller's.
+		d := f.forward(old.target, Forwarded)
+		d.SetCookie = true
+		return d
+	}
 	if old != nil && old.open {
-		return f.forward(old.target, Forwarded)
+		f.forget(s.Flow())
+		old = nil
 	}
 	if old != nil {
 		tried = [2]TargetID{old.target.ID, old.tried[0]}
@@ -253,9 +276,10 @@
 	// lapseMargin is how much later than the packet the list has to be: a
 	// registration that lapsed by mistake has a moment to come back.
 	lapseMargin = 300 * time.Millisecond
-	// maxStrange bounds the memory of unknown cookies, which callers can forge.
+	// maxStrange bounds the memory of unknown cookies and of flows without a
+	// route, which callers can forge.
 	maxStrange = 4096
-	// strangeMemory is how long an unknown cookie is remembered.
+	// strangeMemory is how long they are remembered.
 	strangeMemory = time.Minute
 )
 
--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -14,7 +14,14 @@
 const sweepInterval = time.Second
 
 // SetCatalogue puts a version of the catalogue in force.
-func (f *Forwarder) SetCatalogue(c *Catalogue) { f.catalogue = c }
+func (f *Forwarder) SetCatalogue(c *Catalogue) {
+	f.catalogue = c
+	for k := range f.routeless {
+		if _, ok := c.Routes[k.Address]; ok {
+			delete(f.routeless, k)
+		}
+	}
+}
 
 // HealthPath returns where the targets of a service are checked.
 func (f *Forwarder) HealthPath(service string) string {
@@ -28,13 +35,16 @@
 func (f *Forwarder) PutTarget(now time.Duration, t Target) {
 	x := f.targets[t.ID]
 	if x == nil {
-		x = &target{progress: now, checked: -checkPause}
+		x = &target{progress: now, checked: -checkPause, drainSince: now}
 		f.targets[t.ID] = x
 		x.Target = t
 		f.claim(x)
 		l := f.list(f.service(t.Service), x)
 		*l = append(*l, x)
 	}
+	if t.Draining && !x.Draining {
+		x.drainSince = now
+	}
 	x.Target = t
 	x.departed, x.left, x.verify = false, false, false
 	x.coldUntil = now + t.ColdLeft
@@ -81,11 +91,8 @@
 	f.nextSweep = now + sweepInterval
 	f.expire(now)
 	f.measure(now)
-	for c, first := range f.strange {
-		if now-first > strangeMemory {
-			delete(f.strange, c)
-		}
-	}
+	forgetOld(now, f.strange)
+	forgetOld(now, f.routeless)
 	for id, x := range f.targets {
 		if x.departed && x.flows == 0 && now-x.endedAt > departedMemory {
 			f.drop(id, x)
@@ -93,6 +100,15 @@
 	}
 }
 
+// forgetOld bounds how long what was first seen at a time is remembered.
+func forgetOld[K comparable](now time.Duration, m map[K]time.Duration) {
+	for k, first := range m {
+		if now-first > strangeMemory {
+			delete(m, k)
+		}
+	}
+}
+
 func (f *Forwarder) drop(id TargetID, x *target) {
 	delete(f.targets, id)
 	delete(f.suspects, x)
--- a/internal/direct/targetstate.go
+++ b/internal/direct/targetstate.go
@@ -5,11 +5,12 @@
 // target is a Target with what this balancer knows of it.
 type target struct {
 	Target
-	coldUntil time.Duration
-	departed  bool          // its registration was removed
-	left      bool          // after it had said that it would leave
-	endedAt   time.Duration // when it was found dead or its registration went
-	shadowed  bool          // an older target has the same cookie
+	coldUntil  time.Duration
+	drainSince time.Duration // when it was heard to drain
+	departed   bool          // its registration was removed
+	left       bool          // after it had said that it would leave
+	endedAt    time.Duration // when it was found dead or its registration went
+	shadowed   bool          // an older target has the same cookie
 
 	flows int // open flows that pass this balancer
 	busy  int // requests under way that pass this balancer
@@ -40,10 +41,20 @@
 	return !t.departed && !t.Draining && !t.dead && !t.shadowed && now >= t.avoidUntil
 }
 
-// registered reports whether new flows may go to the target if no other is left.
+// registered reports whether new flows may go to the target if none is eligible.
 // One whose address refuses connections is not there, whatever the list says.
 func (t *target) registered(time.Duration) bool {
-	return !t.departed && !t.shadowed && t.finding != Gone
+	return !t.departed && !t.Draining && !t.shadowed && t.finding != Gone
+}
+
+// lateDrain is how long after its announcement was heard a draining target may
+// still get new flows: news takes up to 1.3 s, and the bound is 3 s.
+const lateDrain = 1200 * time.Millisecond
+
+// leaving reports whether new flows may go to the target if all others are
+// leaving too.
+func (t *target) leaving(now time.Duration) bool {
+	return !t.departed && t.Draining && !t.shadowed && t.finding != Gone && now-t.drainSince < lateDrain
 }
 
 // cleared reports whether nothing speaks against the target any more.
