--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -261,6 +261,9 @@
 // first flow: if a list that was complete after the packet lacks it, it has left,
 // and the caller had better try again at once. Until then the caller repeats.
 func (f *Forwarder) unknown(now time.Duration, s *Segment) Decision {
+	if s.Flags.Has(RST) {
+		return Decision{Verb: Drop, Reason: DroppedReset}
+	}
 	first, ok := f.strange[s.Cookie]
 	if !ok && len(f.strange) < maxStrange {
 		f.strange[s.Cookie] = now
