Take no proof of freshness from a balancer that is behind

Found by reading: a suspended balancer's clock does not count the time it stood still, so that it would tell an old position as fresh. Loads that do not fit a heartbeat are left out as a whole.

--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -75,7 +75,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if c.fleet.Small() {
-		h.Loads = peer.Uses(e.forward.Loads(), peer.MaxUses)
+		h.Loads = peer.Uses(e.forward.Loads())
 	}
 	for _, id := range e.forward.Suspected() {
 		if len(h.Suspected) == peer.MaxSuspected {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -73,13 +73,14 @@
 	return errors.Wrap(cbor.Unmarshal(b, into), "peer: decode")
 }
 
-// Uses converts loads for a heartbeat, at most n of them.
-func Uses(loads map[direct.TargetID]direct.Load, n int) []TargetUse {
-	out := make([]TargetUse, 0, min(len(loads), n))
+// Uses converts loads for a heartbeat. More than fit are left out altogether:
+// targets missing from a part of them would look idle to others.
+func Uses(loads map[direct.TargetID]direct.Load) []TargetUse {
+	if len(loads) > MaxUses {
+		return nil
+	}
+	out := make([]TargetUse, 0, len(loads))
 	for id, l := range loads {
-		if len(out) == n {
-			break
-		}
 		out = append(out, TargetUse{ID: uint64(id), Flows: l.Flows, Busy: l.Busy})
 	}
 	return out
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -81,11 +81,11 @@
 
 func TestHeartbeatFitsADatagram(t *testing.T) {
 	loads := map[direct.TargetID]direct.Load{}
-	for i := range 200 {
+	for i := range MaxUses {
 		loads[direct.TargetID(1)<<40+direct.TargetID(i)] = direct.Load{Flows: 1000, Busy: 20}
 	}
 	h := Heartbeat{From: strings.Repeat("x", 40), DataCenter: strings.Repeat("y", 20), Control: netip.MustParseAddrPort("10.200.200.200:65535"),
-		Position: 1 << 40, Age: time.Hour, LastChange: 1 << 40, Reading: true, Loads: Uses(loads, MaxUses), Version: 1 << 40}
+		Position: 1 << 40, Age: time.Hour, LastChange: 1 << 40, Reading: true, Loads: Uses(loads), Version: 1 << 40}
 	for i := range MaxSuspected {
 		h.Suspected = append(h.Suspected, 1<<40+uint64(i))
 	}
@@ -96,6 +96,10 @@
 	if len(b) > MaxMessage {
 		t.Errorf("heartbeat of %d bytes, at most %d", len(b), MaxMessage)
 	}
+	loads[1] = direct.Load{Flows: 1}
+	if Uses(loads) != nil {
+		t.Error("a part of the loads is told")
+	}
 	var back Heartbeat
 	if err := Decode(b, &back); err != nil || !reflect.DeepEqual(h, back) {
 		t.Errorf("decoded %+v, %v", back, err)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -14,6 +14,9 @@
 	removedMemory = 100000
 )
 
+// neverLoaded is the age of a copy that was never loaded: longer than any limit.
+const neverLoaded = time.Hour
+
 // Replica is the copy. It is not safe for concurrent use.
 type Replica struct {
 	// significant reports whether a change matters to balancers: most writes
@@ -42,7 +45,7 @@
 // Age returns how old the copy may be at most.
 func (r *Replica) Age(now time.Duration) time.Duration {
 	if !r.loaded {
-		return time.Hour
+		return neverLoaded
 	}
 	return now - r.proven
 }
@@ -53,12 +56,17 @@
 // Confirm takes another balancer's word that at the time proven the store was
 // at position and nothing after lastChange mattered. It reports whether this
 // copy has all that, so that it need not be fetched.
+//
+// Failure: a balancer was suspended for seconds, which its clock does not show,
+// and says that its old copy is fresh. It shows as a copy that is taken for
+// current while changes are missing. Its position gives it away, as the store's
+// goes on all the time: nobody who is behind can prove anything.
 func (r *Replica) Confirm(position, lastChange int64, proven time.Duration) bool {
 	if !r.loaded || r.position < lastChange {
 		return false
 	}
-	r.advance(position)
-	if r.position == position || r.lastChange <= lastChange {
+	if position >= r.position {
+		r.advance(position)
 		r.proven = max(r.proven, proven)
 	}
 	return true
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -77,6 +77,19 @@
 	}
 }
 
+// A peer that was suspended wakes and tells its old position as if it were fresh.
+// That proves nothing to a copy that is further on.
+func TestConfirmByOneBehind(t *testing.T) {
+	r := New(significant)
+	r.Replace([]Item{put("a", "1", 3)}, 50, time.Second)
+	if !r.Confirm(40, 3, 9*time.Second) {
+		t.Error("nothing has to be fetched from a peer behind")
+	}
+	if got := r.Age(9 * time.Second); got != 8*time.Second || r.Position() != 50 {
+		t.Errorf("age %v at position %d", got, r.Position())
+	}
+}
+
 func TestSinceAndLog(t *testing.T) {
 	r := New(significant)
 	r.Replace([]Item{put("a", "0", 1)}, 10, 0)
