--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -21,25 +21,6 @@
 	Times Times
 }
 
-// Times takes times that packets and checks show.
-type Times interface {
-	// Opened takes the time from an opening to the caller's next packet.
-	Opened(time.Duration)
-	// Answered takes the time from a request to the first acknowledgement of
-	// its answer.
-	Answered(time.Duration)
-	// Detected takes the time from a dead target's last sign of life to its
-	// discovery.
-	Detected(time.Duration)
-}
-
-// noTimes discards times.
-type noTimes struct{}
-
-func (noTimes) Opened(time.Duration)   {}
-func (noTimes) Answered(time.Duration) {}
-func (noTimes) Detected(time.Duration) {}
-
 // Forwarder decides on packets. It is not safe for concurrent use.
 type Forwarder struct {
 	dataCenter string
@@ -129,20 +110,6 @@
 	return f.following(now, s)
 }
 
-// dropped reports whether the route of an open flow is gone for certain.
-//
-// Failure: a route has just been added, a balancer that knows it opened a flow,
-// and its packets come to one that lacks the new version. A reset would end a
-// living flow. If a catalogue that was in force after the flow's packet lacks the
-// route, it was dropped; until then the flow goes on by its cookie.
-func (f *Forwarder) dropped(now time.Duration, s *Segment) bool {
-	first, ok := f.routeless[s.Flow()]
-	if !ok && len(f.routeless) < maxStrange {
-		f.routeless[s.Flow()] = now
-	}
-	return ok && f.proven > first+lapseMargin
-}
-
 // opening places a flow. A repeated opening goes to another target: the one
 // tried before has had 200 ms or more to answer.
 //
@@ -202,18 +169,6 @@
 	return nil
 }
 
-// hash spreads flows evenly; see splitmix64.
-func (k FlowKey) hash() uint64 {
-	a, b := k.Caller.Addr().As4(), k.Address.Addr().As4()
-	x := uint64(a[0])<<56 | uint64(a[1])<<48 | uint64(a[2])<<40 | uint64(a[3])<<32 |
-		uint64(b[0])<<24 | uint64(b[1])<<16 | uint64(b[2])<<8 | uint64(b[3])
-	x ^= uint64(k.Caller.Port())<<17 ^ uint64(k.Address.Port())<<41
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // following forwards a packet of a flow that was opened before, here or
 // elsewhere.
 func (f *Forwarder) following(now time.Duration, s *Segment) Decision {
@@ -255,42 +210,6 @@
 // Cookie returns the target's cookie.
 func (t *Target) Cookie() Cookie { return t.ID.Cookie() }
 
-// unknown decides on a flow whose target this balancer does not know.
-//
-// Failure: a target has just registered, another balancer opened a flow there,
-// and its news is not here yet, perhaps for seconds as the store is slow. A reset
-// would end the flow of a living target. The target was registered before its
-// first flow: if a list that was complete after the packet lacks it, it has left,
-// and the caller had better try again at once. Until then the caller repeats.
-func (f *Forwarder) unknown(now time.Duration, s *Segment) Decision {
-	if s.Flags.Has(RST) {
-		return Decision{Verb: Drop, Reason: DroppedReset}
-	}
-	first, ok := f.strange[s.Cookie]
-	if !ok && len(f.strange) < maxStrange {
-		f.strange[s.Cookie] = now
-		first = now
-	}
-	if ok && f.proven > first+lapseMargin {
-		return resetOf(s, ResetUnknown)
-	}
-	return Decision{Verb: Drop, Reason: DroppedWait}
-}
-
-const (
-	// lapseMargin is how much later than the packet the list has to be: a
-	// registration that lapsed by mistake has a moment to come back.
-	lapseMargin = 300 * time.Millisecond
-	// maxStrange bounds the memory of unknown cookies and of flows without a
-	// route, which callers can forge.
-	maxStrange = 4096
-	// strangeMemory is how long they are remembered.
-	strangeMemory = time.Minute
-)
-
-// SetProven says when the list of targets was last known to be complete.
-func (f *Forwarder) SetProven(at time.Duration) { f.proven = at }
-
 // ended says how a flow ends whose target is certainly gone: its caller gets a
 // reset at once and can try elsewhere, instead of repeating until its deadline.
 func (f *Forwarder) ended(now time.Duration, t *target, s *Segment) (Decision, bool) {
--- a/internal/direct/segment.go
+++ b/internal/direct/segment.go
@@ -36,6 +36,18 @@
 	Address netip.AddrPort
 }
 
+// hash spreads flows evenly; see splitmix64.
+func (k FlowKey) hash() uint64 {
+	a, b := k.Caller.Addr().As4(), k.Address.Addr().As4()
+	x := uint64(a[0])<<56 | uint64(a[1])<<48 | uint64(a[2])<<40 | uint64(a[3])<<32 |
+		uint64(b[0])<<24 | uint64(b[1])<<16 | uint64(b[2])<<8 | uint64(b[3])
+	x ^= uint64(k.Caller.Port())<<17 ^ uint64(k.Address.Port())<<41
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // Cookie is the part of a target's identifier that every packet of a flow
 // carries from its first answer on: it lets any balancer forward the flow
 // without knowing it. Zero means none.
