Share the daemons' exit codes; let late log lines pass; take SIGHUP from the start

Found by reading: closing the log's queue at the end of a planned stop would have ended the process with a panic if a goroutine still logged; a SIGHUP in the first moments would have ended it too. Both daemons had the same main.

--- a/cmd/rosedale-edge/main.go
+++ b/cmd/rosedale-edge/main.go
@@ -13,32 +13,17 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/pkg/errors"
 
+	"rosedale.dev/rosedale/internal/cli"
 	"rosedale.dev/rosedale/internal/edge"
 	"rosedale.dev/rosedale/platform"
 )
 
-// Exit codes.
-const (
-	exitFailure = 1
-	exitUsage   = 2
-)
-
-func main() {
-	err := run(os.Args[1:])
-	switch {
-	case err == nil || errors.Is(err, flag.ErrHelp):
-	case errors.Is(err, errUsage):
-		fmt.Fprintln(os.Stderr, "rosedale-edge:", err)
-		os.Exit(exitUsage)
-	default:
-		fmt.Fprintln(os.Stderr, "rosedale-edge:", err)
-		os.Exit(exitFailure)
-	}
-}
-
-var errUsage = errors.New("usage")
+func main() { cli.Main("rosedale-edge", run) }
 
 func run(args []string) error {
+	// First of all: a signal that comes before would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	fs := flag.NewFlagSet("rosedale-edge", flag.ContinueOnError)
 	config := fs.String("config", os.Getenv(platform.BootVariable), "the platform's settings file")
 	check := fs.Bool("check", false, "check the settings and exit")
@@ -47,7 +32,7 @@
 		return err
 	}
 	if *config == "" {
-		return errors.Wrapf(errUsage, "-config or %s is needed", platform.BootVariable)
+		return errors.Wrapf(cli.ErrUsage, "-config or %s is needed", platform.BootVariable)
 	}
 	boot, err := platform.ReadBoot(*config)
 	if err != nil {
@@ -64,8 +49,6 @@
 	defer log.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	go log.Reloads(reload, *config)
+	go edge.Reload(reload, *config, log)
 	return edge.Run(ctx, boot, log)
 }
--- a/cmd/rosedaled/main.go
+++ b/cmd/rosedaled/main.go
@@ -14,30 +14,12 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"rosedale.dev/rosedale/internal/cli"
 	"rosedale.dev/rosedale/internal/daemon"
 	"rosedale.dev/rosedale/internal/settings"
 )
 
-// Exit codes.
-const (
-	exitFailure = 1
-	exitUsage   = 2
-)
-
-func main() {
-	err := run(os.Args[1:])
-	switch {
-	case err == nil || errors.Is(err, flag.ErrHelp):
-	case errors.Is(err, errUsage):
-		fmt.Fprintln(os.Stderr, "rosedaled:", err)
-		os.Exit(exitUsage)
-	default:
-		fmt.Fprintln(os.Stderr, "rosedaled:", err)
-		os.Exit(exitFailure)
-	}
-}
-
-var errUsage = errors.New("usage")
+func main() { cli.Main("rosedaled", run) }
 
 // overrides are the settings that flags and ROSEDALED_* variables replace.
 type overrides struct {
@@ -61,7 +43,7 @@
 		return err
 	}
 	if *config == "" {
-		return errors.Wrap(errUsage, "-config is needed")
+		return errors.Wrap(cli.ErrUsage, "-config is needed")
 	}
 	set, err := settings.Read(*config)
 	if err != nil {
@@ -112,7 +94,7 @@
 		}
 		a, err := netip.ParseAddrPort(f.value)
 		if err != nil {
-			return errors.Wrapf(errUsage, "-%s: %v", f.flag, err)
+			return errors.Wrapf(cli.ErrUsage, "-%s: %v", f.flag, err)
 		}
 		*f.into = a
 	}
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +25,7 @@
 type Logger struct {
 	*zap.Logger
 	lines chan []byte
-	done  chan struct{}
+	flush chan chan struct{} // each is closed when all lines before it are written
 	lost  atomic.Uint64
 	told  uint64 // of the lost lines
 }
@@ -37,7 +36,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "log level")
 	}
-	l := &Logger{lines: make(chan []byte, logQueue), done: make(chan struct{})}
+	l := &Logger{lines: make(chan []byte, logQueue), flush: make(chan chan struct{})}
 	conf := zap.NewProductionEncoderConfig()
 	conf.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(conf), zapcore.AddSync(l), lv)
@@ -79,33 +78,40 @@
 }
 
 func (l *Logger) write(w io.Writer) {
-	defer close(l.done)
-	for line := range l.lines {
-		if _, err := w.Write(line); err != nil {
-			l.lost.Add(1)
+	for {
+		select {
+		case line := <-l.lines:
+			l.writeLine(w, line)
+		case done := <-l.flush:
+			for len(l.lines) > 0 {
+				l.writeLine(w, <-l.lines)
+			}
+			close(done)
 		}
 	}
 }
 
-// Close writes what is queued, for a moment at most, and ends the logger.
-func (l *Logger) Close() {
-	close(l.lines)
-	select {
-	case <-l.done:
-	case <-time.After(200 * time.Millisecond):
+func (l *Logger) writeLine(w io.Writer, line []byte) {
+	if _, err := w.Write(line); err != nil {
+		l.lost.Add(1)
 	}
 }
 
-// Reloads reads the settings file again at each signal and says what it found.
-// Addresses and names of a running process do not change; the platform starts a
-// new one for that.
-func (l *Logger) Reloads(signals <-chan os.Signal, path string) {
-	for range signals {
-		boot, err := platform.ReadBoot(path)
-		if err != nil {
-			l.Error("settings not usable; the old ones stay in force", zap.Error(err))
-			continue
-		}
-		l.Info("settings read again", zap.Stringer("store", boot.Store), zap.Int("seeds", len(boot.Seeds)))
+// closeTimeout bounds the writing of the last lines.
+const closeTimeout = 200 * time.Millisecond
+
+// Close writes what is queued, for a moment at most. Lines may still be logged
+// after it, as goroutines end later than the process's work, but need not appear.
+func (l *Logger) Close() {
+	done := make(chan struct{})
+	limit := time.After(closeTimeout)
+	select {
+	case l.flush <- done:
+	case <-limit:
+		return
+	}
+	select {
+	case <-done:
+	case <-limit:
 	}
 }
--- a/internal/edge/log_test.go
+++ b/internal/edge/log_test.go
@@ -29,8 +29,9 @@
 	if l.Lost() == 0 {
 		t.Error("no line was counted as lost")
 	}
-	_ = r.Close()
 	l.Close()
+	l.Info("a goroutine that ends later") // must not panic
+	_ = r.Close()
 }
 
 func BenchmarkDecisionLine(b *testing.B) {
