--- a/internal/edge/complaint_test.go
+++ b/internal/edge/complaint_test.go
@@ -128,7 +128,7 @@
 	d := deploy(t, 1)
 	b := d.balancers[0]
 	for _, x := range d.targets[:2] {
-		x.Work = 600 * time.Millisecond
+		x.SetWork(600 * time.Millisecond)
 	}
 	done := make(chan error, 1)
 	go func() {
--- a/internal/standin/direct/target.go
+++ b/internal/standin/direct/target.go
@@ -28,13 +28,13 @@
 type Target struct {
 	ID      uint64
 	Reg     Registration
-	Work    time.Duration
 	Opened  atomic.Int64 // openings that it answered
 	Ran     atomic.Int64 // requests that it worked on
 	Foreign atomic.Int64 // packets of flows that it does not hold
 	// Log takes how often each request ran, by its body; nil for no record.
 	Log    *sync.Map
 	silent atomic.Bool
+	pace   atomic.Int64 // time that a request takes
 
 	udp   *net.UDPConn
 	srv   *http.Server
@@ -64,8 +64,9 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Target{ID: id, udp: udp, store: s, reply: reply, Work: time.Millisecond, flows: map[[2]netip.AddrPort]*targetFlow{}}
+	t := &Target{ID: id, udp: udp, store: s, reply: reply, flows: map[[2]netip.AddrPort]*targetFlow{}}
 	t.Reg = Registration{Service: service, Address: udp.LocalAddr().String(), Zone: centre, Version: "v1", Slots: 2, State: "ready"}
+	t.SetWork(time.Millisecond)
 	t.srv = &http.Server{Handler: http.HandlerFunc(t.health), ReadHeaderTimeout: time.Second}
 	go func() { _ = t.srv.Serve(tcp) }() // it ends with Stop
 	go t.serve()
@@ -88,6 +89,9 @@
 	t.Register()
 }
 
+// SetWork sets how long a request takes.
+func (t *Target) SetWork(d time.Duration) { t.pace.Store(int64(d)) }
+
 // Silence makes the target answer nothing any more, as if it had lost power.
 func (t *Target) Silence() { t.silent.Store(true) }
 
@@ -157,7 +161,7 @@
 
 // work answers a request once.
 func (t *Target) work(h head, fl *targetFlow, body string) {
-	time.Sleep(t.Work)
+	time.Sleep(time.Duration(t.pace.Load()))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	answer := []byte(strings.TrimSpace(body) + " by " + t.Name())
