--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -105,6 +105,23 @@
 	}
 }
 
+// The connections to the store go silent for good, without a reset, while new
+// ones work. A change must be in force within its bound all the same.
+func TestSilentStoreConnections(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 2)
+	for _, b := range d.balancers {
+		b.link.Silence()
+	}
+	d.store.Put(platform.CatalogueKey, desired(8, scans, newRoute))
+	time.Sleep(d.balancers[0].boot.Apply)
+	for i, b := range d.balancers {
+		if _, err := d.ask(b, newRoute); err != nil {
+			t.Errorf("balancer %d: route that was added: %v", i, err)
+		}
+	}
+}
+
 // The store forgets its history between two reads. Balancers list everything
 // again and learn what they missed.
 func TestHistoryIsForgotten(t *testing.T) {
