--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -60,6 +60,7 @@
 	procs     []*Process
 	ca        keys.Pair
 	callers   int
+	release   func() // of the lock on the machine's addresses
 	// ReadyAfter is the time from the balancers' start until all were ready.
 	ReadyAfter time.Duration
 }
@@ -80,13 +81,19 @@
 	if c.Balancer == 0 {
 		c.Balancer = defaultMembers
 	}
+	release, err := lock()
+	if err != nil {
+		return nil, err
+	}
 	dir, err := os.MkdirTemp("", "rosedale-bed-")
 	if err != nil {
+		release()
 		return nil, errors.Wrap(err, "testbed: folder")
 	}
-	b := &Bed{Config: c, Dir: dir, Store: store.NewConsul("http://"+Platform, "")}
+	b := &Bed{Config: c, Dir: dir, Store: store.NewConsul("http://"+Platform, ""), release: release}
 	if b.Services == nil {
 		if b.Services, err = target.ReadDir(c.Examples); err != nil {
+			release()
 			return nil, err
 		}
 	}
@@ -262,6 +269,7 @@
 	if !b.Verbose {
 		_ = os.RemoveAll(b.Dir)
 	}
+	b.release()
 }
 
 // Root returns the repository's folder from this package's place in it.
