--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -115,6 +115,9 @@
 func (f *Forwarder) drop(id TargetID, x *target) {
 	delete(f.targets, id)
 	delete(f.suspects, x)
+	if x.checking {
+		f.checking-- // its outcome will find no target
+	}
 	l := f.list(f.service(x.Service), x)
 	*l = slices.DeleteFunc(*l, func(o *target) bool { return o == x })
 	c := x.Cookie()
--- a/internal/direct/suspect_test.go
+++ b/internal/direct/suspect_test.go
@@ -236,6 +236,22 @@
 	}
 }
 
+// A target is forgotten while it is being checked. The number of checks under way
+// must not stay up: after a few of these no target would be checked any more.
+func TestForgottenTargetEndsItsCheck(t *testing.T) {
+	b := newFixture(t, manyTargets(2)...)
+	for id := TargetID(1000); id < 1000+2*maxChecks; id++ {
+		b.f.PutTarget(b.now, target1(id, "a"))
+		b.f.RemoveTarget(b.now, id)
+		if len(b.f.Suspects(b.now)) != 1 {
+			t.Fatalf("target %d is not checked", id)
+		}
+		b.now += 2 * departedMemory
+		b.f.Tick(b.now)
+		b.f.Checked(b.now, id, Silent)
+	}
+}
+
 // The longest wait in a queue decides; later ones must not be reported before.
 func TestWaitsComeInOrder(t *testing.T) {
 	var q waits
