--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -233,6 +233,3 @@
 func (f *Forwarder) forward(t *target, why Reason) Decision {
 	return Decision{Verb: Forward, Reason: why, Target: &t.Target}
 }
-
-// String returns the route for logs and tests.
-func (r Route) String() string { return r.Name + " " + r.Address.String() }
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -48,8 +48,8 @@
 //
 // Failure: after a failure of all, VMs with 10 Mbit/s read a catalogue of 0.4 MB
 // for 0.3 s and more, while openings wait. It shows as late answers long after
-// the VMs are back. Balancers ask their seeds at the same time: what these pass
-// on is a tenth as long, and the rest of the first read would only fill the link.
+// the VMs are back. Balancers ask their seeds a tick later: what these pass on is
+// a tenth as long, and the rest of the first read would only fill the link.
 func (c *control) stopFirstRead() {
 	if c.stopRead != nil {
 		c.stopRead()
