Register again at once when the store takes a registration away

Cause: a balancer whose registration was removed renewed only its lease, 20 s later, and a lease can live on without its key, so that the key never came back. Meanwhile nobody sent it heartbeats and its copy of the store grew to 1.8 s before it asked others.

Now its own removal makes it register again at once (20 ms apart for each rank), and peers that still hear a member without a registration go on telling it.

Ruled out: an expiry of the copy's news (the removal reached all within 0.6 s).

--- /dev/null
+++ b/internal/direct/place_test.go
@@ -0,0 +1,94 @@
+package direct
+
+import (
+	"testing"
+	"time"
+)
+
+func TestOpeningsStayNear(t *testing.T) {
+	b := newFixture(t, target1(1, "a"), target1(2, "b"))
+	d := b.handle(packet(1, streams, SYN, 0))
+	b.want(d, OpenedNear)
+	if d.Target.ID != 1 || !d.SetCookie {
+		t.Errorf("opening went to %d, cookie set: %v", d.Target.ID, d.SetCookie)
+	}
+}
+
+// The last target of a service gets its openings again: there is no other.
+func TestRepeatedOpeningOfTheOnlyTarget(t *testing.T) {
+	b := newFixture(t, target1(1, "a"))
+	b.handle(packet(1, streams, SYN, 0))
+	b.now += 200 * time.Millisecond
+	if d := b.handle(packet(1, streams, SYN, 0)); d.Verb != Forward || d.Target.ID != 1 {
+		t.Errorf("repeated opening: %v", d.Reason)
+	}
+}
+
+// All targets of a service leave. For a moment openings may still go to them,
+// then callers are told at once that nothing ran.
+func TestAllTargetsLeave(t *testing.T) {
+	b := newFixture(t, target1(1, "a"))
+	leaving := target1(1, "a")
+	leaving.Draining = true
+	b.f.PutTarget(b.now, leaving)
+	b.want(b.handle(packet(1, streams, SYN, 0)), OpenedNear)
+	b.now += lateDrain
+	b.f.PutTarget(b.now, leaving) // a heartbeat
+	b.want(b.handle(packet(2, streams, SYN, 0)), ResetNoTarget)
+}
+
+// A suspected target is better than one that leaves.
+func TestSuspectedBeforeLeaving(t *testing.T) {
+	leaving := target1(1, "a")
+	leaving.Draining = true
+	b := newFixture(t, leaving, target1(2, "a"))
+	b.state(2).avoidUntil = b.now + time.Second
+	if d := b.handle(packet(1, streams, SYN, 0)); d.Target.ID != 2 {
+		t.Errorf("opening went to %d", d.Target.ID)
+	}
+}
+
+func TestWeightsShareOpenings(t *testing.T) {
+	b := newFixture(t, target1(1, "a"))
+	x := target1(2, "a")
+	x.Service = "x"
+	b.f.PutTarget(b.now, x)
+	c := testCatalogue()
+	r := c.Routes[streams]
+	r.Backends = []Backend{{"s", 90}, {"x", 10}}
+	c.Routes[streams] = r
+	b.f.SetCatalogue(c)
+	got := 0
+	const openings = 2000
+	for i := range openings {
+		s := packet(uint16(i), streams, SYN, 0)
+		d := b.handle(s)
+		if d.Target.Service == "x" {
+			got++
+		}
+		s.Ack = 1
+		if again := b.handle(s); again.Target.Service != d.Target.Service {
+			t.Fatal("a repeated opening changed the service")
+		}
+	}
+	if got < openings*8/100 || got > openings*12/100 {
+		t.Errorf("%d of %d openings went to the service with a tenth", got, openings)
+	}
+}
+
+// A target takes so many flows and leaves further openings unanswered. They go
+// elsewhere, also those that peers hold count, and with no room left callers are
+// told at once.
+func TestFullTargets(t *testing.T) {
+	b := newFixture(t, target1(1, "a"), target1(2, "b"))
+	c := testCatalogue()
+	c.Services["s"] = Service{Name: "s", MaxConns: 3}
+	b.f.SetCatalogue(c)
+	b.f.SetPeerLoads(map[TargetID]Load{1: {Flows: 1}})
+	for port, want := range []TargetID{1, 1, 2, 2, 2} {
+		if id := b.open(uint16(port), streams); id != want {
+			t.Errorf("flow %d opened at %d, want %d", port, id, want)
+		}
+	}
+	b.want(b.handle(packet(99, streams, SYN, 0)), ResetNoTarget)
+}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -45,25 +45,27 @@
 	events chan func()
 	look   chan struct{} // a target has become suspicious
 
-	replica   *replica.Replica
-	packer    peer.Packer
-	stopRead  context.CancelFunc // of the first read, while it runs
-	reader    replica.Reader
-	fleet     *peer.Fleet
-	peers     map[string]*neighbour // by name
-	readAt    time.Duration         // when the next read of the store is due
-	readBusy  bool
-	readDone  time.Duration
-	fetchBusy bool
-	askTurn   int          // which balancer to ask next
-	fulls     atomic.Int64 // full copies being sent
-	version   int64        // of the catalogue in force
-	lease     lease
-	leaving   bool
-	alarmDue  bool          // a suspicion is to be told
-	alarmed   time.Duration // when the last one was
-	ticks     int
-	storeLost bool
+	replica  *replica.Replica
+	packer   peer.Packer
+	stopRead context.CancelFunc // of the first read, while it runs
+	reader   replica.Reader
+	fleet    *peer.Fleet
+	peers    map[string]*neighbour // by name
+	// unregistered are the keys of members without a registration that are heard.
+	unregistered map[string]bool
+	readAt       time.Duration // when the next read of the store is due
+	readBusy     bool
+	readDone     time.Duration
+	fetchBusy    bool
+	askTurn      int          // which balancer to ask next
+	fulls        atomic.Int64 // full copies being sent
+	version      int64        // of the catalogue in force
+	lease        lease
+	leaving      bool
+	alarmDue     bool          // a suspicion is to be told
+	alarmed      time.Duration // when the last one was
+	ticks        int
+	storeLost    bool
 }
 
 // neighbour is another balancer as its heartbeats show it.
@@ -89,6 +91,8 @@
 		replica: replica.New(platform.Significant),
 		fleet:   peer.NewFleet(e.member()),
 		peers:   map[string]*neighbour{},
+
+		unregistered: map[string]bool{},
 	}
 	return c, c.serve()
 }
@@ -153,6 +157,7 @@
 	e.mu.Unlock()
 	c.checkSuspects(ctx, now)
 	if c.ticks%lossTicks == 0 {
+		c.forgetUnregistered()
 		c.log.reportLost()
 	}
 	c.alarmIfDue(now)
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -192,6 +193,37 @@
 
 func (b *running) isReady() bool { return b.status(b.boot.Ready, platform.ReadyPath) == http.StatusOK }
 
+// registration is the balancer's key in the store.
+func (b *running) registration() string { return platform.MemberPrefix + b.boot.VM }
+
+// believes returns what the balancer says of itself.
+func (b *running) believes(t *testing.T) Status {
+	t.Helper()
+	resp, err := http.Get("http://" + net.JoinHostPort(b.boot.Data.Addr().String(), AdminPort) + StatusPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var s Status
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// acquainted waits until all balancers hear each other.
+func (d *deployment) acquainted() {
+	d.t.Helper()
+	d.eventually(5*time.Second, "all balancers hear each other", func() bool {
+		for _, b := range d.balancers {
+			if len(b.believes(d.t).Peers) != len(d.balancers)-1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func (b *running) status(a netip.AddrPort, path string) int {
 	resp, err := http.Get("http://" + a.String() + path)
 	if err != nil {
--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -19,6 +19,9 @@
 	leaseRenewal = 20 * time.Second
 	// leaseRetry is the pause after a failed call.
 	leaseRetry = 2 * time.Second
+	// rankPause is the pause between two balancers of a data centre that
+	// register again: 55 of them, twice the calls, within 1.1 s.
+	rankPause = 20 * time.Millisecond
 )
 
 // lease keeps this balancer registered in the store.
@@ -47,6 +50,17 @@
 	}()
 }
 
+// revoked notes that the store no longer has the registration. The lease may
+// live on without it, so that a new one is due.
+//
+// Failure: an operator's mistake or an outage takes registrations away. It shows
+// as a balancer that hears no heartbeat until its lease is due, 20 s later.
+func (l *lease) revoked(c *control, now time.Duration) {
+	c.log.Warn("registration was taken away", zap.Int64("lease", l.id))
+	l.id = 0
+	l.due = now + time.Duration(c.fleet.Rank())*rankPause
+}
+
 func (l *lease) renewed(c *control, id int64, err error) {
 	l.busy = false
 	l.id = id
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +12,7 @@
 	"rosedale.dev/rosedale/internal/direct"
 	"rosedale.dev/rosedale/internal/peer"
 	"rosedale.dev/rosedale/internal/replica"
+	"rosedale.dev/rosedale/platform"
 )
 
 const (
@@ -112,9 +114,10 @@
 // applyMember takes another balancer's registration.
 func (c *control) applyMember(i replica.Item) {
 	if i.Deleted {
-		c.fleet.Remove(i.Key)
+		c.removeMember(i.Key)
 		return
 	}
+	delete(c.unregistered, i.Key)
 	var m peer.Member
 	if err := peer.Decode(i.Value, &m); err != nil {
 		c.edge.counts.badItems.Add(1)
@@ -123,3 +126,37 @@
 	}
 	c.fleet.Put(i.Key, m)
 }
+
+// removeMember takes the end of a registration.
+//
+// Failure: the store takes away a registration whose balancer lives, and turns
+// that balancer away. It shows as a copy that gets old on it, as nobody sends it
+// heartbeats. Who hears it goes on telling it what is new.
+func (c *control) removeMember(key string) {
+	if c.hears(key) {
+		c.unregistered[key] = true
+		return
+	}
+	c.fleet.Remove(key)
+	if key == c.edge.registration() {
+		c.lease.revoked(c, c.now())
+	}
+}
+
+// hears reports whether heartbeats of the balancer with a registration's key
+// arrive.
+func (c *control) hears(key string) bool {
+	n := c.peers[strings.TrimPrefix(key, platform.MemberPrefix)]
+	return n != nil && !n.last.Leaving && c.now()-n.heard <= peerSilent
+}
+
+// forgetUnregistered ends the membership of balancers that have lost their
+// registration and are no longer heard.
+func (c *control) forgetUnregistered() {
+	for key := range c.unregistered {
+		if !c.hears(key) {
+			delete(c.unregistered, key)
+			c.fleet.Remove(key)
+		}
+	}
+}
