Leave targets that fail requests, by what callers acknowledge

Cause: answers pass no balancer, and a target that fails, hangs or is slow while its health check is good looked as good as others, or better, being idle.

Callers' packets tell how a request ended: bytes acknowledged and the time until the first of them, against the route's medians. Failures count at the target, fade with 4 s, are told to the peers of the data centre, and make a target look loaded as far as it fails more than its service does.

--- a/internal/direct/flow.go
+++ b/internal/direct/flow.go
@@ -18,6 +18,7 @@
 	asked   time.Duration // when the request under way was first seen
 	maxEnd  uint32        // end of the caller's data so far
 	maxAck  uint32        // last byte of the target's data that the caller has
+	answer  pendingAnswer
 }
 
 // after reports whether sequence number a comes after b, across the wrap.
--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"time"
 )
 
@@ -42,14 +43,21 @@
 	strange   map[Cookie]time.Duration  // unknown cookies, by when first seen
 	routeless map[FlowKey]time.Duration // open flows without a route, by when first seen
 
-	openings waits         // unanswered openings
-	requests waits         // requests without a sign of their answer
-	busy     waits         // requests that count as under way
-	usual    time.Duration // from an opening to the caller's next packet
-	due      bool          // a target has become suspicious
-	checking int           // checks under way
-	homes    int           // see SetHomes
-	times    Times
+	openings    waits         // unanswered openings
+	requests    waits         // requests without a sign of their answer
+	busy        waits         // requests that count as under way
+	usual       time.Duration // from an opening to the caller's next packet
+	due         bool          // a target has become suspicious
+	checking    int           // checks under way
+	homes       int           // see SetHomes
+	spread      int           // see SetPeerOutcomes
+	usuals      map[netip.AddrPort]*usual
+	doubtful    map[*target]bool // targets that failed requests lately
+	answers     [answers]uint64
+	gradeNews   []GradeNews
+	answerQueue waits // requests that wait to be judged
+	badSeen     bool  // see BadSeen
+	times       Times
 }
 
 // New returns a Forwarder that knows no target yet.
@@ -71,6 +79,8 @@
 		suspects:   map[*target]bool{},
 		usual:      firstUsual,
 		homes:      1,
+		usuals:     map[netip.AddrPort]*usual{},
+		doubtful:   map[*target]bool{},
 		times:      c.Times,
 	}
 }
@@ -78,6 +88,9 @@
 // Count returns how many packets were decided for a reason.
 func (f *Forwarder) Count(r Reason) uint64 { return f.counts[r] }
 
+// CountAnswers returns how many requests ended so.
+func (f *Forwarder) CountAnswers(a Answer) uint64 { return f.answers[a] }
+
 // Flows returns the number of flows in the table.
 func (f *Forwarder) Flows() int { return len(f.flows) }
 
--- a/internal/direct/inspect.go
+++ b/internal/direct/inspect.go
@@ -21,6 +21,10 @@
 	Repeats    int           `json:"repeats"`  // of callers since then
 	Finding    string        `json:"finding"`  // of the last check
 	Eligible   bool          `json:"eligible"` // for new flows
+	Good       float64       `json:"good"`     // recent requests, see Outcome
+	Bad        float64       `json:"bad"`
+	PeerBad    float64       `json:"peer_bad"`
+	Extra      float64       `json:"extra"` // of its load, for failing requests
 }
 
 // Targets returns all targets, by service and identifier.
@@ -41,6 +45,7 @@
 		State: t.state(now), Flows: t.flows, Busy: t.busy, PeerFlows: t.peers.Flows,
 		Load: t.load(now, f.service(t.Service).work), Silence: now - t.progress, Repeats: t.stalls,
 		Finding: t.finding.String(), Eligible: t.eligible(now),
+		Good: t.record.Good, Bad: t.record.Bad, PeerBad: t.peerOutcome.Bad, Extra: t.extra,
 	}
 }
 
@@ -59,6 +64,8 @@
 		return "draining"
 	case now < t.avoidUntil:
 		return "suspected"
+	case t.failing:
+		return "failing"
 	case now < t.coldUntil:
 		return "cold"
 	}
--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -19,6 +19,7 @@
 	for name, s := range c.Services {
 		f.service(name).maxConns = s.MaxConns
 	}
+	f.forgetUsuals()
 	for k := range f.routeless {
 		if _, ok := c.Routes[k.Address]; ok {
 			delete(f.routeless, k)
@@ -88,6 +89,8 @@
 // 100 ms or so.
 func (f *Forwarder) Tick(now time.Duration) {
 	f.overdue(now)
+	f.judgeOverdue(now)
+	f.regrade(now)
 	if now < f.nextSweep {
 		return
 	}
@@ -115,6 +118,7 @@
 func (f *Forwarder) drop(id TargetID, x *target) {
 	delete(f.targets, id)
 	delete(f.suspects, x)
+	delete(f.doubtful, x)
 	if x.checking {
 		f.checking-- // its outcome will find no target
 	}
--- a/internal/direct/observe.go
+++ b/internal/direct/observe.go
@@ -70,6 +70,9 @@
 		if fl.pending {
 			f.times.Answered(now - fl.asked)
 		}
+		if fl.answer.open && fl.answer.took == 0 {
+			fl.answer.took = now - fl.answer.began
+		}
 		fl.pending = false
 		f.idle(fl)
 		f.acknowledged(now, fl.target, s)
@@ -78,10 +81,14 @@
 	switch {
 	case s.Len > 0 && after(end, fl.maxEnd):
 		fl.maxEnd = end
+		f.asks(now, fl)
 		f.request(now, fl)
 	case s.Len > 0:
 		f.unanswered(now, fl)
 	}
+	if s.Flags.Has(FIN) {
+		f.judge(now, fl)
+	}
 	if s.Flags.Has(FIN) || s.Flags.Has(RST) {
 		f.close(fl)
 	}
--- /dev/null
+++ b/internal/direct/outcome_test.go
@@ -0,0 +1,112 @@
+package direct
+
+import (
+	"testing"
+	"time"
+)
+
+// note has a target end some requests alike.
+func (b *fixture) note(id TargetID, a Answer, n int) {
+	for range n {
+		b.f.noted(b.now, b.state(id), a)
+	}
+}
+
+// One target fails four of ten requests, another none. New flows go to the other
+// until it is loaded, the belief is told once, and fades after the failures end.
+func TestFailingTargetLooksLoaded(t *testing.T) {
+	b := newFixture(t, target1(1, "a"), target1(2, "a"))
+	b.note(1, AnswerGood, 12)
+	b.note(1, AnswerNone, 8)
+	b.note(2, AnswerGood, 20)
+	b.f.Tick(b.now)
+	for port := range uint16(5) {
+		if id := b.open(100+port, streams); id != 2 {
+			t.Errorf("flow %d went to the target that fails", port)
+		}
+	}
+	news := b.f.GradeNews()
+	if len(news) != 1 || news[0].Target != 1 || !news[0].Failing {
+		t.Fatalf("news is %+v, want that target 1 fails", news)
+	}
+	b.now += 6 * outcomeMemory
+	b.f.Tick(b.now)
+	if news = b.f.GradeNews(); len(news) != 1 || news[0].Failing {
+		t.Errorf("news is %+v, want that target 1 answers well again", news)
+	}
+	if x := b.state(1); x.extra > 0.1 {
+		t.Errorf("the target still looks loaded by %.2f", x.extra)
+	}
+}
+
+// This balancer sees most requests fail everywhere, as its own path is broken. It
+// must not tell others that targets fail, nor prefer one to another.
+func TestOwnFaultStaysHere(t *testing.T) {
+	b := newFixture(t, target1(1, "a"), target1(2, "a"))
+	b.note(1, AnswerNone, 20)
+	b.note(2, AnswerNone, 20)
+	b.f.Tick(b.now)
+	if out := b.f.Outcomes(b.now); len(out) != 0 {
+		t.Errorf("tells %v", out)
+	}
+	if x, y := b.state(1).extra, b.state(2).extra; x > 0.5 || y > 0.5 {
+		t.Errorf("targets look loaded by %.2f and %.2f", x, y)
+	}
+}
+
+// In a large fleet a balancer has few requests to each target. What others tell
+// of failures decides, measured by the requests that all of them must have had.
+func TestPeersOutcomesDecide(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		bad    float64 // requests that failed at target 1, told by peers
+		spread int     // balancers
+		loaded bool
+	}{
+		{"ten of about 40", 10, 20, true},
+		{"one of about 40", 1, 20, false},
+		{"ten of about 400", 10, 200, false},
+	} {
+		b := newFixture(t, target1(1, "a"), target1(2, "a"))
+		b.note(1, AnswerGood, 2)
+		b.note(2, AnswerGood, 2)
+		b.f.SetPeerOutcomes(map[TargetID]Outcome{1: {Bad: c.bad}}, c.spread)
+		b.f.Tick(b.now)
+		if got := b.state(1).extra > failingLoad; got != c.loaded {
+			t.Errorf("%s: looks loaded by %.2f", c.name, b.state(1).extra)
+		}
+		b.f.SetPeerOutcomes(nil, c.spread)
+		b.f.Tick(b.now)
+		if x := b.state(1).extra; x > 0.1 {
+			t.Errorf("%s: still looks loaded by %.2f after the peers have forgotten", c.name, x)
+		}
+	}
+}
+
+// A target that failed is forgotten with all that was known of it.
+func TestForgottenTargetIsNotDoubtful(t *testing.T) {
+	b := newFixture(t, target1(1, "a"), target1(2, "a"))
+	b.note(1, AnswerNone, 5)
+	b.f.RemoveTarget(b.now, 1)
+	for range 3 {
+		b.now += departedMemory
+		b.f.Tick(b.now)
+	}
+	if len(b.f.doubtful) != 0 {
+		t.Errorf("%d targets are doubtful", len(b.f.doubtful))
+	}
+}
+
+// Outcomes fade by time alone, whoever keeps them.
+func TestOutcomesFade(t *testing.T) {
+	o := Outcome{Good: 10, Bad: 5}.Faded(outcomeMemory)
+	if o.Good < 3.6 || o.Good > 3.7 || o.Bad < 1.8 || o.Bad > 1.9 {
+		t.Errorf("%+v after one memory", o)
+	}
+	var r record
+	r.add(time.Second, AnswerSlow)
+	r.fade(time.Second + outcomeMemory)
+	if r.Bad < 0.18 || r.Bad > 0.19 {
+		t.Errorf("%+v after one memory", r)
+	}
+}
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -32,11 +32,13 @@
 	near, far []*target // in this data centre and in the others
 	maxConns  int       // flows that one target holds; 0 for no limit
 	// work is the share of a slot that an open flow keeps busy on average.
-	work float64
+	work   float64
+	record record // of all requests that pass this balancer
 }
 
 // load returns the requests per slot that the target has or will soon have:
-// those under way from here, and those that its open flows send on average.
+// those under way from here, and those that its open flows send on average. One
+// that fails requests seems to have more; see grade.
 //
 // What peers have under way is left out: a request ends in a third of the time
 // between two reports, and all balancers would turn to the target that looked
@@ -48,7 +50,7 @@
 	if now < t.coldUntil {
 		n = n*coldFactor + coldFactor - 1
 	}
-	return n / float64(max(t.Slots, 1))
+	return n/float64(max(t.Slots, 1)) + t.extra
 }
 
 // full reports whether the target holds as many flows as it may. Flows of peers
--- a/internal/direct/replay_test.go
+++ b/internal/direct/replay_test.go
@@ -22,6 +22,7 @@
 	centres   int
 	nextPort  uint32
 	retries   int // further tries of a caller
+	perFlow   int // requests on a long flow on average; 0: no end
 
 	goal   time.Duration
 	asked  int
@@ -58,8 +59,20 @@
 	served  int
 	opened  int     // openings that reached it
 	slow    float64 // factor of the work
+	sick    sickness
+	share   float64 // of the requests that it fails
+	bad     int     // requests that it failed
 }
 
+// sickness is how a target fails requests while its health check is good.
+type sickness uint8
+
+const (
+	errors sickness = iota // a short answer at once
+	hangs                  // no answer; the caller gives up at its deadline
+	breaks                 // the flow ends without an answer
+)
+
 type simRequest struct {
 	flow  *simFlow
 	asked time.Duration // the caller's first try
@@ -157,6 +170,13 @@
 	for i, b := range r.balancers {
 		all[i] = b.f.Loads()
 	}
+	answers := make([]map[TargetID]Outcome, len(r.balancers))
+	for i, b := range r.balancers {
+		answers[i] = b.f.Outcomes(r.now)
+	}
+	for i, b := range r.balancers {
+		b.f.SetPeerOutcomes(r.others(answers, i), r.inCentre(b.centre))
+	}
 	for i, b := range r.balancers {
 		sum := map[TargetID]Load{}
 		for j, l := range all {
@@ -175,6 +195,30 @@
 	r.imbalance()
 }
 
+// others sums the outcomes that all balancers but the i-th tell.
+func (r *replay) others(answers []map[TargetID]Outcome, i int) map[TargetID]Outcome {
+	sum := map[TargetID]Outcome{}
+	for j, m := range answers {
+		if j == i {
+			continue
+		}
+		for id, x := range m {
+			sum[id] = sum[id].Plus(x)
+		}
+	}
+	return sum
+}
+
+func (r *replay) inCentre(centre int) int {
+	n := 0
+	for _, b := range r.balancers {
+		if b.centre == centre {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *replay) imbalance() {
 	most, total := 0, 0
 	for _, t := range r.targets {
@@ -259,6 +303,9 @@
 		switch {
 		case fl == nil || fl.dead:
 			fl = r.request(centre, true, r.work(30))
+		case fl.waiting == nil && r.perFlow > 0 && r.rng.IntN(r.perFlow) == 0:
+			r.close(fl)
+			fl = r.request(centre, true, r.work(30))
 		case fl.waiting == nil:
 			r.asked++
 			r.ask(fl, &simRequest{asked: r.now, work: r.work(30)})
@@ -268,6 +315,14 @@
 	r.after(r.exp(1), next)
 }
 
+// close ends a flow from the caller's side.
+func (r *replay) close(fl *simFlow) {
+	fl.dead = true
+	last := fl.seg
+	last.Flags |= FIN
+	r.after(simCaller, func() { fl.b.f.Handle(r.now, &last) })
+}
+
 func (r *replay) work(mean float64) time.Duration {
 	x := mean * (0.5 + r.rng.ExpFloat64()*0.5)
 	return time.Duration(min(x, 6*mean) * float64(time.Millisecond))
--- a/internal/direct/replayflow_test.go
+++ b/internal/direct/replayflow_test.go
@@ -136,6 +136,10 @@
 }
 
 func (r *replay) start(t *simTarget, q *simRequest) {
+	if t.share > 0 && r.rng.Float64() < t.share {
+		r.fail(t, q)
+		return
+	}
 	t.running++
 	r.after(time.Duration(float64(q.work)*t.slow), func() {
 		if t.dead || t.dark {
@@ -152,6 +156,42 @@
 	})
 }
 
+// Times of requests that fail.
+const (
+	simError    = 5 * time.Millisecond // until a target answers with an error
+	simDeadline = 2500 * time.Millisecond
+)
+
+// fail is what a sick target does with a request instead of serving it.
+func (r *replay) fail(t *simTarget, q *simRequest) {
+	t.bad++
+	fl := q.flow
+	switch t.sick {
+	case errors:
+		r.after(simError+simCaller, func() { r.refused(q) })
+	case hangs:
+		r.after(simDeadline-(r.now-q.asked), func() { r.broken(fl) })
+	case breaks:
+		r.after(simError+simCaller, func() { r.broken(fl) })
+	}
+}
+
+// refused is a short answer at the caller, which acknowledges it and asks again on
+// a new flow.
+func (r *replay) refused(q *simRequest) {
+	fl := q.flow
+	if fl.dead || fl.waiting != q {
+		return
+	}
+	fl.seg.Seq += uint32(fl.seg.Len)
+	fl.seg.Len = 0
+	fl.seg.Ack += 170
+	fl.seg.Flags |= FIN
+	last := fl.seg
+	r.after(simCaller, func() { fl.b.f.Handle(r.now, &last) })
+	r.broken(fl)
+}
+
 // done is the answer at the caller, which acknowledges it.
 func (r *replay) done(q *simRequest) {
 	fl := q.flow
--- a/internal/direct/targetstate.go
+++ b/internal/direct/targetstate.go
@@ -16,6 +16,11 @@
 	busy  int // requests under way that pass this balancer
 	peers Load
 
+	record      record  // of the requests that pass this balancer
+	peerOutcome Outcome // of those that pass others, as far as they tell
+	extra       float64 // load that it seems to have more; see grade
+	failing     bool    // as told last
+
 	progress   time.Duration // last packet that shows it alive
 	stalls     int           // repeats and unanswered openings since then
 	overdue    bool          // it owes an answer for longer than usual
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -64,6 +64,7 @@
 	leaving      bool
 	alarmDue     bool          // a suspicion is to be told
 	alarmed      time.Duration // when the last one was
+	outcomesTold time.Duration // see outcomesIfDue
 	ticks        int
 	storeLost    bool
 }
@@ -153,14 +154,18 @@
 	} else {
 		e.forward.SetHomes(len(c.fleet.Near()) + 1)
 	}
+	e.forward.SetPeerOutcomes(c.peerOutcomes(now), len(c.fleet.Near())+1)
 	e.forward.Tick(now)
+	grades := e.forward.GradeNews()
 	e.mu.Unlock()
+	c.logGrades(grades)
 	c.checkSuspects(ctx, now)
 	if c.ticks%lossTicks == 0 {
 		c.forgetUnregistered()
 		c.log.reportLost()
 	}
 	c.alarmIfDue(now)
+	c.outcomesIfDue(now)
 	c.heartbeat(now)
 }
 
--- a/internal/edge/decisions.go
+++ b/internal/edge/decisions.go
@@ -27,6 +27,20 @@
 		zap.Duration("age", now-time.Duration(e.proven.Load())))
 }
 
+// logGrades writes a line for each target that has begun or ceased to fail
+// requests.
+func (c *control) logGrades(news []direct.GradeNews) {
+	for _, g := range news {
+		outcome := "target answers well again"
+		if g.Failing {
+			outcome = "target fails requests"
+		}
+		c.log.Info(outcome, zap.Stringer("target", g.Target), zap.Float64("share", g.Share),
+			zap.Float64("good", g.Own.Good), zap.Float64("bad", g.Own.Bad),
+			zap.Float64("peers_good", g.Peers.Good), zap.Float64("peers_bad", g.Peers.Bad))
+	}
+}
+
 // copyOf returns how many copies of an opening went before, 0 for others.
 func copyOf(s *direct.Segment) uint32 {
 	if s.Flags.Has(direct.SYN) {
--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -18,6 +18,9 @@
 	// alarmPause takes suspicions together: 32 targets that crash at once would
 	// else be 32 datagrams from each balancer to each other.
 	alarmPause = tickInterval / 2
+	// outcomePause takes requests that ended badly together, in large fleets: 24
+	// balancers of a data centre then hear 80 heartbeats a second each at most.
+	outcomePause = 3 * tickInterval
 )
 
 // heartbeat tells others what this balancer knows.
@@ -39,11 +42,29 @@
 	c.tell(now, slices.Concat(c.fleet.Near(), c.fleet.Speakers()))
 }
 
+// outcomesIfDue tells the balancers near by of a large data centre how requests
+// to failing targets end. In small fleets every heartbeat does.
+//
+// Failure: a target fails part of its requests. Of 24 balancers each has one
+// request to it in five seconds, and none knows enough.
+func (c *control) outcomesIfDue(now time.Duration) {
+	if c.fleet.Small() || now-c.outcomesTold < outcomePause {
+		return
+	}
+	c.edge.mu.Lock()
+	due := c.edge.forward.BadSeen() && len(c.edge.forward.Outcomes(now)) > 0
+	c.edge.mu.Unlock()
+	if due {
+		c.outcomesTold = now
+		c.tell(now, c.fleet.Near())
+	}
+}
+
 func (c *control) tell(now time.Duration, to []netip.AddrPort) {
 	if len(to) == 0 {
 		return
 	}
-	b, err := peer.Encode(c.state(now))
+	b, err := encodeShort(c.state(now))
 	if err != nil {
 		c.log.Error("heartbeat", zap.Error(err))
 		return
@@ -56,6 +77,17 @@
 	}
 }
 
+// encodeShort encodes a heartbeat. What does not fit is left out, outcomes first:
+// without them others only place worse.
+func encodeShort(h peer.Heartbeat) ([]byte, error) {
+	b, err := peer.Encode(h)
+	if err != nil || len(b) <= peer.MaxMessage {
+		return b, err
+	}
+	h.Outcomes = nil
+	return peer.Encode(h)
+}
+
 // state returns what a heartbeat says.
 func (c *control) state(now time.Duration) peer.Heartbeat {
 	h := peer.Heartbeat{
@@ -77,6 +109,7 @@
 	if c.fleet.Small() {
 		h.Loads = peer.Uses(e.forward.Loads())
 	}
+	h.Outcomes = peer.TargetOutcomes(e.forward.Outcomes(now))
 	for _, id := range e.forward.Suspected() {
 		if len(h.Suspected) == peer.MaxSuspected {
 			break
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -15,6 +15,13 @@
 			return e.forward.Count(r)
 		})
 	}
+	for _, a := range direct.Answers() {
+		m.Counter("answers_"+a.String(), func() uint64 {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.forward.CountAnswers(a)
+		})
+	}
 	m.Gauge("flows", func() float64 { return float64(e.flows()) })
 	m.Gauge("copy_age_seconds", func() float64 { return (e.now() - time.Duration(e.proven.Load())).Seconds() })
 	n := &e.counts
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -111,6 +111,22 @@
 	return out
 }
 
+// peerOutcomes sums how the requests of the other balancers of this data centre
+// ended. What a balancer told fades like its own counts.
+func (c *control) peerOutcomes(now time.Duration) map[direct.TargetID]direct.Outcome {
+	out := map[direct.TargetID]direct.Outcome{}
+	for _, n := range c.peers {
+		if n.last.DataCenter != c.edge.boot.DataCenter || len(n.last.Outcomes) == 0 {
+			continue
+		}
+		for _, o := range n.last.Outcomes {
+			id := direct.TargetID(o.ID)
+			out[id] = out[id].Plus(o.Outcome().Faded(now - n.heard))
+		}
+	}
+	return out
+}
+
 // applyMember takes another balancer's registration.
 func (c *control) applyMember(i replica.Item) {
 	if i.Deleted {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -4,7 +4,9 @@
 package peer
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -21,6 +23,8 @@
 	MaxUses = 50
 	// MaxSuspected is the number of suspected targets that it holds.
 	MaxSuspected = 40
+	// MaxOutcomes is the number of failing targets that it holds.
+	MaxOutcomes = 16
 )
 
 // Heartbeat says what a balancer knows and what its flows hold.
@@ -43,6 +47,8 @@
 	Version   int64    `cbor:"10,keyasint"` // of the catalogue in force
 	// Leaving says that the sender stops and its flows move to others.
 	Leaving bool `cbor:"11,keyasint,omitempty"`
+	// Outcomes are of the sender's requests at targets that failed some.
+	Outcomes []TargetOutcome `cbor:"12,keyasint,omitempty"`
 }
 
 // TargetUse is what the sender's flows hold at a target, as an array to keep
@@ -54,6 +60,34 @@
 	Busy  int
 }
 
+// TargetOutcome is how the sender's recent requests to a target ended, in tenths
+// of a request.
+type TargetOutcome struct {
+	_    struct{} `cbor:",toarray"`
+	ID   uint64
+	Good int
+	Bad  int
+}
+
+// tenths of a request make the unit of TargetOutcome.
+const tenths = 10
+
+// TargetOutcomes converts outcomes for a heartbeat, the worst ones if there are
+// too many.
+func TargetOutcomes(outcomes map[direct.TargetID]direct.Outcome) []TargetOutcome {
+	out := make([]TargetOutcome, 0, len(outcomes))
+	for id, o := range outcomes {
+		out = append(out, TargetOutcome{ID: uint64(id), Good: int(o.Good * tenths), Bad: int(o.Bad * tenths)})
+	}
+	slices.SortFunc(out, func(a, b TargetOutcome) int { return cmp.Or(b.Bad-a.Bad, cmp.Compare(a.ID, b.ID)) })
+	return out[:min(len(out), MaxOutcomes)]
+}
+
+// Outcome converts it back.
+func (t TargetOutcome) Outcome() direct.Outcome {
+	return direct.Outcome{Good: float64(t.Good) / tenths, Bad: float64(t.Bad) / tenths}
+}
+
 // Changes answers a balancer that lags.
 type Changes struct {
 	Full     bool          `cbor:"1,keyasint"` // all items rather than changes
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -168,3 +168,29 @@
 		f.Rank()
 	}
 }
+
+// A heartbeat tells of the targets that fail most, and what a balancer takes from
+// it is what the sender counted.
+func TestOutcomesOfAHeartbeat(t *testing.T) {
+	sent := map[direct.TargetID]direct.Outcome{}
+	for i := range 2 * MaxOutcomes {
+		sent[direct.TargetID(i+1)] = direct.Outcome{Good: 7.5, Bad: float64(i + 1)}
+	}
+	b, err := Encode(Heartbeat{Outcomes: TargetOutcomes(sent)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var h Heartbeat
+	if err := Decode(b, &h); err != nil {
+		t.Fatal(err)
+	}
+	if len(h.Outcomes) != MaxOutcomes {
+		t.Fatalf("%d outcomes", len(h.Outcomes))
+	}
+	for i, o := range h.Outcomes {
+		want := direct.Outcome{Good: 7.5, Bad: float64(2*MaxOutcomes - i)}
+		if o.Outcome() != want {
+			t.Errorf("%d: %+v, want %+v", i, o.Outcome(), want)
+		}
+	}
+}
