Tell where a request that was run twice was run

Cause: TestRollingReplacementBreaksNothing failed once with one request run twice, and its output does not say which targets ran it, so that the fault cannot be traced. The stand-in targets now record target, caller and time of each run, and the violation prints them. No behaviour of the product changes.

--- a/internal/experiment/outcome.go
+++ b/internal/experiment/outcome.go
@@ -50,7 +50,7 @@
 	c := o.Callers
 	add(c.WrongService, "answers of another service")
 	add(c.Crossed, "answers to another caller")
-	add(c.RunTwice, "requests run twice")
+	add(c.RunTwice, "requests run twice: "+strings.Join(c.Twice, "; "))
 	add(c.RefusedButRun, "requests refused but run")
 	add(c.LostAnswers, "requests answered but not run")
 	if planned {
--- a/internal/standin/caller/main.go
+++ b/internal/standin/caller/main.go
@@ -154,8 +154,8 @@
 }
 
 // executions asks the targets what they ran.
-func executions(targets string) (map[string]int, error) {
-	all := map[string]int{}
+func executions(targets string) (map[string][]string, error) {
+	all := map[string][]string{}
 	for _, t := range strings.Split(targets, ",") {
 		if t == "" {
 			continue
@@ -164,14 +164,14 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "caller: executions of %s", t)
 		}
-		var m map[string]int
+		var m map[string][]string
 		err = json.NewDecoder(resp.Body).Decode(&m)
 		_ = resp.Body.Close()
 		if err != nil {
 			return nil, errors.Wrapf(err, "caller: executions of %s", t)
 		}
-		for id, n := range m {
-			all[id] += n
+		for id, runs := range m {
+			all[id] = append(all[id], runs...)
 		}
 	}
 	return all, nil
--- a/internal/standin/caller/result.go
+++ b/internal/standin/caller/result.go
@@ -4,26 +4,30 @@
 package caller
 
 import (
+	"fmt"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 )
 
 // Result is what the callers of one run saw. Latencies are in milliseconds.
 type Result struct {
-	StreamsOpened int            `json:"streamsOpened"`
-	StreamsFailed int            `json:"streamsFailed"` // never opened
-	StreamsBroken int            `json:"streamsBroken"`
-	StreamsReset  int            `json:"streamsReset"` // of the broken: by a reset
-	Frames        int            `json:"frames"`
-	WrongService  int            `json:"wrongService"`
-	Crossed       int            `json:"crossed"` // another caller's answer
-	Requests      int            `json:"requests"`
-	Answered      int            `json:"answered"`
-	Refused       int            `json:"refused"`
-	Broken        int            `json:"broken"` // reset or cut after the connection opened
-	TimedOut      int            `json:"timedOut"`
-	RunTwice      int            `json:"runTwice"`
+	StreamsOpened int `json:"streamsOpened"`
+	StreamsFailed int `json:"streamsFailed"` // never opened
+	StreamsBroken int `json:"streamsBroken"`
+	StreamsReset  int `json:"streamsReset"` // of the broken: by a reset
+	Frames        int `json:"frames"`
+	WrongService  int `json:"wrongService"`
+	Crossed       int `json:"crossed"` // another caller's answer
+	Requests      int `json:"requests"`
+	Answered      int `json:"answered"`
+	Refused       int `json:"refused"`
+	Broken        int `json:"broken"` // reset or cut after the connection opened
+	TimedOut      int `json:"timedOut"`
+	RunTwice      int `json:"runTwice"`
+	// Twice tells where the first of them were run.
+	Twice         []string       `json:"twice,omitempty"`
 	RefusedButRun int            `json:"refusedButRun"`
 	LostAnswers   int            `json:"answeredNotRun"`
 	P50           float64        `json:"p50"`
@@ -45,6 +49,9 @@
 	refusals []time.Duration
 }
 
+// maxTwice bounds what is told of requests that were run twice.
+const maxTwice = 5
+
 type outcome int
 
 const (
@@ -89,14 +96,17 @@
 }
 
 // finish compares the callers' outcomes with what targets say they ran.
-func (r *recorder) finish(runs map[string]int) Result {
+func (r *recorder) finish(runs map[string][]string) Result {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, o := range r.outcome {
-		n := runs[id]
+		n := len(runs[id])
 		switch {
 		case n > 1:
 			r.res.RunTwice++
+			if len(r.res.Twice) < maxTwice {
+				r.res.Twice = append(r.res.Twice, fmt.Sprintf("%s: %s", id, strings.Join(runs[id], ", ")))
+			}
 		case o == refused && n > 0:
 			r.res.RefusedButRun++
 		case o == answered && n == 0:
--- a/internal/standin/target/handler.go
+++ b/internal/standin/target/handler.go
@@ -58,7 +58,7 @@
 		http.Error(w, "work", http.StatusBadRequest)
 		return
 	}
-	e.rec.execute(e, q.Get("id"))
+	e.rec.execute(e, q.Get("id"), connectionOf(r))
 	time.Sleep(time.Duration(work)*time.Millisecond + e.behaviour().Slow)
 	w.Header().Set("Connection", "close")
 	_, _ = fmt.Fprintf(w, "%s %s %s", e.Service.Name, e.Target.Address, q.Get("id"))
--- a/internal/standin/target/records.go
+++ b/internal/standin/target/records.go
@@ -1,23 +1,26 @@
 package target
 
 import (
+	"fmt"
+	"maps"
 	"sync"
+	"time"
 )
 
 // Records keeps what the endpoints of a process ran, by request identifier.
 type Records struct {
 	mu    sync.Mutex
-	runs  map[string]int
+	runs  map[string][]string // where and when each was run
 	calls map[*Endpoint]map[connection]bool
 }
 
 func newRecords() *Records {
-	return &Records{runs: map[string]int{}, calls: map[*Endpoint]map[connection]bool{}}
+	return &Records{runs: map[string][]string{}, calls: map[*Endpoint]map[connection]bool{}}
 }
 
-func (r *Records) execute(e *Endpoint, id string) {
+func (r *Records) execute(e *Endpoint, id string, c connection) {
 	r.mu.Lock()
-	r.runs[id]++
+	r.runs[id] = append(r.runs[id], fmt.Sprintf("%s for %s at %s", e.Target.Address, c.caller, time.Now().Format(time.StampMicro)))
 	r.mu.Unlock()
 	e.mu.Lock()
 	e.stats.Executed++
@@ -50,12 +53,8 @@
 	return out
 }
 
-func (r *Records) snapshot() map[string]int {
+func (r *Records) snapshot() map[string][]string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make(map[string]int, len(r.runs))
-	for k, v := range r.runs {
-		out[k] = v
-	}
-	return out
+	return maps.Clone(r.runs)
 }
