Do not reset the last requests of a target that is ending

Cause: a target that had announced its end closes its socket before it has answered the requests it has.

Now a refused check of a target that is leaving resets flows only once a caller repeats in vain.

TestEndingTargetAnswersItsLastRequests failed before.

--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -80,7 +80,7 @@
 
 func (t *target) suspicious(now time.Duration) bool {
 	pause := checkPause
-	if t.failed == 1 {
+	if t.failed == 1 || t.finding == Gone && !t.dead {
 		pause = confirmPause
 	}
 	switch {
@@ -133,12 +133,20 @@
 	t.finding = x
 	t.failed++
 	t.avoidUntil = now + avoidTime
-	if x == Gone || t.failed >= confirmChecks && t.mute() && f.othersLive(now, t) {
+	if x == Gone && t.ended() || t.failed >= confirmChecks && t.mute() && f.othersLive(now, t) {
 		v.Resets = f.bury(now, t)
 	}
 	return v
 }
 
+// ended reports whether a target that refuses connections has ended with its
+// flows.
+//
+// Failure: a target that had announced its end closes its socket first and then
+// answers the requests it has. It shows as flows that are reset 10 ms before their
+// answer. A caller that repeats gets no more acknowledgement.
+func (t *target) ended() bool { return !t.Draining || t.mute() }
+
 // mute reports whether more than the checks speaks against the target.
 //
 // Failure: a target's health check hangs while its flows are served. A check
--- a/internal/direct/suspect_test.go
+++ b/internal/direct/suspect_test.go
@@ -91,6 +91,39 @@
 	}
 }
 
+// A target that had said it would leave ends: it takes no more connections, so
+// that a check is refused, while it still answers the requests it has. Those flows
+// must not be reset. One whose caller repeats has ended with it.
+func TestEndingTargetAnswersItsLastRequests(t *testing.T) {
+	b := newFixture(t, manyTargets(3)...)
+	b.live(0)
+	ending := b.open(1, streams)
+	leaves := b.state(ending).Target
+	leaves.Draining = true
+	b.f.PutTarget(b.now, leaves)
+	b.now += 300 * time.Millisecond
+	b.ask(1, streams, ending, 101, 1000)
+	b.now += answerPatience
+	b.f.Tick(b.now)
+	if len(b.f.Suspects(b.now)) != 1 {
+		t.Fatal("the target is not checked")
+	}
+	if v := b.f.Checked(b.now, ending, Gone); len(v.Resets) != 0 {
+		t.Error("a flow was reset whose target still serves it")
+	}
+	b.want(b.ask(1, streams, ending, 401, 1000), Forwarded)
+	b.now += 200 * time.Millisecond
+	b.live(ending)
+	b.ask(1, streams, ending, 401, 1000)
+	if len(b.f.Suspects(b.now)) != 1 {
+		t.Fatal("the target is not checked after a repeat")
+	}
+	if v := b.f.Checked(b.now, ending, Gone); len(v.Resets) != 1 {
+		t.Errorf("%d flows were reset after a repeat, want 1", len(v.Resets))
+	}
+}
+
+
 // The balancer's own link is choked while it loads a large catalogue: repeats
 // and failed checks on many targets at once. None of their flows may be reset.
 func TestChokedLinkResetsNobody(t *testing.T) {
