Tell many dark targets from a choked link by one check

Cause: with four of a data centre's five targets dark, both balancers there had two silent checks and repeats against each of them within 0.62 s, and did nothing: only one other target near by showed life, as if their own link were choked. Callers waited until the registrations lapsed, 1.4 s after the loss, or for ever with the store down.

Now a target that nothing speaks against is checked at the first silent check. If that check is answered, a check of the silent target that began no earlier decides.

TestManyDarkTargetsOrAChokedLink failed before; with the choked link nobody is reset.

Tests are split by matter; TestDarkTargetsAreLeft is unchanged.

--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -49,8 +49,9 @@
 	usual       time.Duration // from an opening to the caller's next packet
 	due         bool          // a target has become suspicious
 	checking    int           // checks under way
-	homes       int           // see SetHomes
-	spread      int           // see SetPeerOutcomes
+	link        ownLink
+	homes       int // see SetHomes
+	spread      int // see SetPeerOutcomes
 	usuals      map[netip.AddrPort]*usual
 	doubtful    map[*target]bool // targets that failed requests lately
 	answers     [answers]uint64
--- a/internal/direct/outcome.go
+++ b/internal/direct/outcome.go
@@ -179,7 +179,7 @@
 
 // regrade is due at each tick: counts fade, and doubts with them.
 func (f *Forwarder) regrade(now time.Duration) {
-	for t := range f.doubtful {
+	for _, t := range inOrder(f.doubtful) {
 		f.grade(now, t)
 		if t.record.Bad < 0.05 && t.peerOutcome.Bad < 0.05 && !t.failing {
 			t.extra = 0
--- /dev/null
+++ b/internal/direct/replayload_test.go
@@ -0,0 +1,81 @@
+package direct
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// load sends requests of a mix like the users': seven tenths on long flows of
+// one request a second, the rest on flows of their own.
+func (r *replay) load(centre int, perSecond float64, until time.Duration) {
+	long := int(perSecond * 0.77)
+	for range long {
+		r.user(centre, until)
+	}
+	fresh := perSecond * 0.23
+	var next func()
+	next = func() {
+		if r.now > until {
+			return
+		}
+		r.request(centre, false, r.work(39))
+		r.after(r.exp(1/fresh), next)
+	}
+	r.after(r.exp(1/fresh), next)
+}
+
+// user keeps one flow open and asks about once a second.
+func (r *replay) user(centre int, until time.Duration) {
+	var fl *simFlow
+	var next func()
+	next = func() {
+		if r.now > until {
+			return
+		}
+		switch {
+		case fl == nil || fl.dead:
+			fl = r.request(centre, true, r.work(30))
+		case fl.waiting == nil && r.perFlow > 0 && r.rng.IntN(r.perFlow) == 0:
+			r.close(fl)
+			fl = r.request(centre, true, r.work(30))
+		case fl.waiting == nil:
+			r.asked++
+			r.ask(fl, &simRequest{asked: r.now, work: r.work(30)})
+		}
+		r.after(r.exp(1), next)
+	}
+	r.after(r.exp(1), next)
+}
+
+// close ends a flow from the caller's side.
+func (r *replay) close(fl *simFlow) {
+	fl.dead = true
+	last := fl.seg
+	last.Flags |= FIN
+	r.after(simCaller, func() { fl.b.f.Handle(r.now, &last) })
+}
+
+func (r *replay) work(mean float64) time.Duration {
+	x := mean * (0.5 + r.rng.ExpFloat64()*0.5)
+	return time.Duration(min(x, 6*mean) * float64(time.Millisecond))
+}
+
+func (r *replay) exp(seconds float64) time.Duration {
+	return time.Duration(r.rng.ExpFloat64() * seconds * float64(time.Second))
+}
+
+// share returns n as a share of the requests.
+func (r *replay) share(n int) float64 { return float64(n) / float64(r.asked) }
+
+// String sums the replay up.
+func (r *replay) String() string {
+	served := make([]int, 0, len(r.targets))
+	for _, t := range r.targets {
+		served = append(served, t.served)
+	}
+	sort.Ints(served)
+	return fmt.Sprintf("asked %d, in goal %.3f, late %.3f, shed %d, failed %d, far %.2f, busiest/mean %.2f, served %v",
+		r.asked, r.share(r.inGoal), r.share(r.late), r.shed, r.failed,
+		float64(r.far)/float64(max(r.opened, 1)), r.sum.busiest/r.sum.mean, served)
+}
--- a/internal/direct/sick_test.go
+++ b/internal/direct/sick_test.go
@@ -5,6 +5,15 @@
 	"time"
 )
 
+// sickness is how a target fails requests while its health check is good.
+type sickness uint8
+
+const (
+	errors sickness = iota // a short answer at once
+	hangs                  // no answer; the caller gives up at its deadline
+	breaks                 // the flow ends without an answer
+)
+
 // Four of 14 targets fail four tenths of their requests while their health check
 // is good, for 8 s: with errors, without any answer, or by ending the flow. All
 // that balancers see are the callers' acknowledgements. New flows have to go
--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -1,6 +1,11 @@
 package direct
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// suspectStalls is the number of repeats without any sign of life from
@@ -54,10 +59,16 @@
 // suspect has Suspects look at a target.
 func (f *Forwarder) suspect(t *target) { f.suspects[t] = true }
 
+// inOrder returns a set of targets by identifier, so that the same events always
+// lead to the same decisions.
+func inOrder(set map[*target]bool) []*target {
+	return slices.SortedFunc(maps.Keys(set), func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 // Suspects returns the targets to check now.
 func (f *Forwarder) Suspects(now time.Duration) []Target {
 	var out []Target
-	for t := range f.suspects {
+	for _, t := range inOrder(f.suspects) {
 		if f.checking >= maxChecks {
 			break
 		}
@@ -124,6 +135,9 @@
 		t.checking = false
 		f.checking--
 	}
+	if f.witnessed(t, x) {
+		return Verdict{}
+	}
 	if x == Alive || x == Silent && t.progress > t.checked {
 		t.clear()
 		return Verdict{}
@@ -133,7 +147,12 @@
 	t.finding = x
 	t.failed++
 	t.avoidUntil = now + avoidTime
-	if x == Gone && t.ended() || t.failed >= confirmChecks && t.mute() && f.othersLive(now, t) {
+	switch {
+	case x == Gone && t.ended():
+		v.Resets = f.bury(now, t)
+	case !f.othersLive(now, t) && !f.ownLinkWorks(now, t):
+		f.askOwnLink(now, t)
+	case t.failed >= confirmChecks && t.mute():
 		v.Resets = f.bury(now, t)
 	}
 	return v
@@ -187,6 +206,7 @@
 			out = append(out, Segment{Caller: k.Caller, Address: k.Address, Ack: fl.maxAck})
 		}
 	}
+	slices.SortFunc(out, func(a, b Segment) int { return a.Caller.Compare(b.Caller) })
 	for i := range out {
 		f.counts[ResetSilent]++
 		f.forget(out[i].Flow())
--- a/internal/direct/targetstate.go
+++ b/internal/direct/targetstate.go
@@ -28,6 +28,7 @@
 	told       bool          // another balancer suspected it first
 
 	verify   bool // check it without further evidence
+	witness  bool // the check is of this balancer's own link
 	checking bool
 	checked  time.Duration // start of the last check
 	failed   int           // checks in a row without an answer
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -288,7 +288,11 @@
 	now := c.now()
 	c.edge.mu.Lock()
 	v := c.edge.forward.Checked(now, t.ID, x)
+	due := c.edge.forward.Due()
 	c.edge.mu.Unlock()
+	if due {
+		c.lookSoon()
+	}
 	for i := range v.Resets {
 		c.edge.packets.reset(&v.Resets[i])
 		c.edge.logDecision(now, &v.Resets[i], direct.Decision{Verb: direct.Reset, Reason: direct.ResetSilent}, t.ID)
