Stand-in targets reset requests of another target's connection

Cause of "1 requests run twice" (TestRollingReplacementBreaksNothing, in KNOWN-RED.txt): the targets' TCP library takes any acknowledgement for the end of a handshake that its forwarder started (its check of the number is only made for listening sockets). A target that had got a copy of an opening so ran the request that the caller sent to another target, 0.6 and 12 s after that one had.

The number is checked before the library gets the packet now, as RFC 9293 asks.

Ruled out: cookies (off), equal initial numbers (a secret for each stack), a second dial of the caller (one for each request).

TestRequestOfAnotherTargetIsReset failed before: the strange request was acknowledged.

--- a/internal/standin/target/endpoint.go
+++ b/internal/standin/target/endpoint.go
@@ -37,6 +37,7 @@
 	mu    sync.Mutex
 	set   Behaviour
 	lost  map[connection]bool // forgotten connections
+	begun handshakes
 	stats Stats
 }
 
@@ -74,6 +75,7 @@
 		classes: map[netip.AddrPort]catalogue.Class{},
 		conns:   map[netip.AddrPort]*listener{},
 		lost:    map[connection]bool{},
+		begun:   handshakes{},
 	}
 	e.stats = Stats{Service: s.Name, Target: t.Address.String(), DataCenter: t.DataCenter}
 	var addrs []netip.Addr
@@ -172,7 +174,7 @@
 			continue
 		}
 		d, err := geneve.Parse(b[:n])
-		if err != nil || e.drops(from.Addr().Unmap(), &d) {
+		if err != nil || e.drops(from.Addr().Unmap(), &d) || e.resets(d.Inner) {
 			continue
 		}
 		e.net.Inject(d.Inner)
@@ -198,19 +200,41 @@
 	return e.set.Paused || e.lost[connection{caller: seg.Src, address: seg.Dst}]
 }
 
+// resets answers a packet with a reset if it belongs to another target's
+// connection.
+func (e *Endpoint) resets(b []byte) bool {
+	seg, err := packet.Parse(b)
+	if err != nil {
+		return false
+	}
+	e.mu.Lock()
+	strange := e.begun.strange(&seg)
+	e.mu.Unlock()
+	if strange {
+		e.transmit(packet.ResetTo(&seg))
+	}
+	return strange
+}
+
+// send takes a packet of the TCP stack.
 func (e *Endpoint) send(b []byte) {
 	seg, err := packet.Parse(b)
 	if err != nil {
 		return
 	}
 	e.mu.Lock()
+	e.begun.sent(&seg)
 	drop := e.set.Paused || e.lost[connection{caller: seg.Dst, address: seg.Src}]
 	e.mu.Unlock()
 	if !drop {
-		_, _ = e.sock.WriteToUDP(geneve.Append(nil, e.Service.Number, nil, b), e.fabric)
+		e.transmit(b)
 	}
 }
 
+func (e *Endpoint) transmit(b []byte) {
+	_, _ = e.sock.WriteToUDP(geneve.Append(nil, e.Service.Number, nil, b), e.fabric)
+}
+
 // lose makes n open streams go silent: nothing about them passes any more. It
 // loses none and returns false if fewer are open.
 func (e *Endpoint) lose(n int) bool {
