--- a/internal/direct/outcome.go
+++ b/internal/direct/outcome.go
@@ -41,7 +41,7 @@
 	failingWeight = 16
 	// failingLoad is the extra load from which on a target counts as failing in
 	// logs and status, and half of it ends that.
-	failingLoad = 1.0
+	failingLoad = 2.0
 	// worthTelling is the number of bad requests from which on others are told:
 	// one that was not answered, or two that were slow.
 	worthTelling = 0.9
