--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -38,6 +38,7 @@
 	changed  time.Time
 	done     map[string]int
 	stopping atomic.Bool
+	starts   atomic.Int64
 	callers  sync.WaitGroup
 	ran      sync.Map // requests that ran, by their body
 
@@ -142,9 +143,19 @@
 	go w.probe(n)
 }
 
+// program returns the program to start: every other one is the older one that
+// SOAK_OLD names, as while a fleet is upgraded.
+func (w *world) program() string {
+	old := os.Getenv("SOAK_OLD")
+	if old != "" && w.starts.Add(1)%2 == 0 {
+		return old
+	}
+	return "../../bin/rosedale-edge"
+}
+
 // start runs a balancer's program. Only processes started here are ever ended.
 func (w *world) start(n *node) {
-	n.cmd = exec.Command("../../bin/rosedale-edge")
+	n.cmd = exec.Command(w.program())
 	n.cmd.Env = append(os.Environ(), "ROSEDALE_BOOT="+n.boot)
 	n.cmd.Stdout, n.cmd.Stderr = n.out, n.out
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
