--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -7,7 +7,6 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"time"
 )
 
@@ -43,22 +42,16 @@
 	strange   map[Cookie]time.Duration  // unknown cookies, by when first seen
 	routeless map[FlowKey]time.Duration // open flows without a route, by when first seen
 
-	openings    waits         // unanswered openings
-	requests    waits         // requests without a sign of their answer
-	busy        waits         // requests that count as under way
-	usual       time.Duration // from an opening to the caller's next packet
-	due         bool          // a target has become suspicious
-	checking    int           // checks under way
-	link        ownLink
-	homes       int // see SetHomes
-	spread      int // see SetPeerOutcomes
-	usuals      map[netip.AddrPort]*usual
-	doubtful    map[*target]bool // targets that failed requests lately
-	answers     [answers]uint64
-	gradeNews   []GradeNews
-	answerQueue waits // requests that wait to be judged
-	badSeen     bool  // see BadSeen
-	times       Times
+	openings waits         // unanswered openings
+	requests waits         // requests without a sign of their answer
+	busy     waits         // requests that count as under way
+	usual    time.Duration // from an opening to the caller's next packet
+	due      bool          // a target has become suspicious
+	checking int           // checks under way
+	link     ownLink
+	homes    int  // see SetHomes
+	ends     ends // how requests end
+	times    Times
 }
 
 // New returns a Forwarder that knows no target yet.
@@ -80,8 +73,7 @@
 		suspects:   map[*target]bool{},
 		usual:      firstUsual,
 		homes:      1,
-		usuals:     map[netip.AddrPort]*usual{},
-		doubtful:   map[*target]bool{},
+		ends:       newEnds(),
 		times:      c.Times,
 	}
 }
@@ -90,7 +82,7 @@
 func (f *Forwarder) Count(r Reason) uint64 { return f.counts[r] }
 
 // CountAnswers returns how many requests ended so.
-func (f *Forwarder) CountAnswers(a Answer) uint64 { return f.answers[a] }
+func (f *Forwarder) CountAnswers(a Answer) uint64 { return f.ends.counts[a] }
 
 // Flows returns the number of flows in the table.
 func (f *Forwarder) Flows() int { return len(f.flows) }
--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -118,7 +118,7 @@
 func (f *Forwarder) drop(id TargetID, x *target) {
 	delete(f.targets, id)
 	delete(f.suspects, x)
-	delete(f.doubtful, x)
+	delete(f.ends.doubtful, x)
 	if x.checking {
 		f.checking-- // its outcome will find no target
 	}
--- a/internal/direct/outcome.go
+++ b/internal/direct/outcome.go
@@ -12,15 +12,6 @@
 	Bad  float64 // not answered, or short or slowly
 }
 
-// Plus returns the sum of two counts.
-func (o Outcome) Plus(x Outcome) Outcome { return Outcome{o.Good + x.Good, o.Bad + x.Bad} }
-
-// Faded returns the counts after a time.
-func (o Outcome) Faded(after time.Duration) Outcome {
-	w := math.Exp(-float64(after) / float64(outcomeMemory))
-	return Outcome{o.Good * w, o.Bad * w}
-}
-
 const (
 	// outcomeMemory is the time constant with which requests are forgotten. A
 	// target that is left alone gets requests again after about that time.
@@ -28,28 +19,17 @@
 	// outcomePrior is the number of good requests that every target starts
 	// with, so that one bad one proves little.
 	outcomePrior = 2
-	// failingWeight is the load, in requests per slot, that a target seems to
-	// have more if it fails all requests and no other target any. One that fails
-	// four tenths while one in nine of all requests fails is so left until the
-	// others have a queue of four requests for each slot, beyond which they turn
-	// requests away.
-	//
-	// Gain: of 3,369 requests 147 instead of 408 met a failure while four of 14
-	// targets answered four tenths with errors, and 0.958 instead of 0.883 made
-	// their goal while these were five times slower; 173 and 0.939 with half the
-	// weight (TestFailingTargetsAreLeft, TestSlowTargetsAreLeft).
-	failingWeight = 16
-	// failingLoad is the extra load from which on a target counts as failing in
-	// logs and status, and half of it ends that.
-	failingLoad = 2.0
-	// worthTelling is the number of bad requests from which on others are told:
-	// one that was not answered, or two that were slow.
-	worthTelling = 0.9
-	// blindShare is the share of bad requests in a service from which on this
-	// balancer's findings tell more of itself or of all targets, and stay here.
-	blindShare = 0.5
 )
 
+// Plus returns the sum of two counts.
+func (o Outcome) Plus(x Outcome) Outcome { return Outcome{o.Good + x.Good, o.Bad + x.Bad} }
+
+// Faded returns the counts after a time.
+func (o Outcome) Faded(after time.Duration) Outcome {
+	w := math.Exp(-float64(after) / float64(outcomeMemory))
+	return Outcome{o.Good * w, o.Bad * w}
+}
+
 // record is an Outcome at a time.
 type record struct {
 	Outcome
@@ -75,152 +55,3 @@
 func (o Outcome) share(least float64) float64 {
 	return o.Bad / (max(o.Good+o.Bad, least) + outcomePrior)
 }
-
-// Answer says how a request ended, as far as the caller's packets show.
-type Answer uint8
-
-// The ends of requests.
-const (
-	AnswerGood  Answer = iota
-	AnswerSlow         // several times later than usual
-	AnswerShort        // with a fraction of the usual bytes, as errors are
-	AnswerNone         // nothing was acknowledged
-	answers
-)
-
-var answerNames = [answers]string{"good", "slow", "short", "none"}
-
-// String returns the name in counters.
-func (a Answer) String() string { return answerNames[a] }
-
-// Answers returns all ends of requests.
-func Answers() []Answer { return []Answer{AnswerGood, AnswerSlow, AnswerShort, AnswerNone} }
-
-// weight is how much of a bad request it is. A slow answer is still an answer,
-// and slow targets also look busy.
-func (a Answer) weight() float64 {
-	switch a {
-	case AnswerGood:
-		return 0
-	case AnswerSlow:
-		return 0.5
-	}
-	return 1
-}
-
-// noted takes the end of a request to a target.
-func (f *Forwarder) noted(now time.Duration, t *target, a Answer) {
-	f.answers[a]++
-	f.service(t.Service).record.add(now, a)
-	t.record.add(now, a)
-	if a.weight() > 0 {
-		f.doubtful[t] = true
-		f.badSeen = true
-		f.grade(now, t)
-	}
-}
-
-// grade works out how much more loaded a target is to look, since it fails more
-// of its requests than others do.
-//
-// Failure: a target fails requests while its health check is good, or hangs, or
-// is slow. It shows as callers that end flows early and ask again, or wait in
-// vain; being idle, it would draw ever more flows. Compared with the service as
-// a whole, so that a fault of all targets, of the callers or of this balancer
-// changes nothing; as a load, so that a false alarm cannot empty a service.
-func (f *Forwarder) grade(now time.Duration, t *target) {
-	s := f.service(t.Service)
-	t.record.fade(now)
-	s.record.fade(now)
-	// Others tell only of targets that fail, so that the good requests which they
-	// had there are estimated: as many as any target's.
-	all := (s.record.Good + s.record.Bad) * float64(max(f.spread, 1)) / float64(max(s.here(), 1))
-	bad := t.record.Plus(t.peerOutcome).share(all) - s.record.share(0)
-	t.extra = failingWeight * max(bad, 0)
-	f.tellGrade(t, bad)
-}
-
-// here returns the number of targets that this data centre's flows are spread
-// over.
-func (s *service) here() int {
-	if len(s.near) > 0 {
-		return len(s.near)
-	}
-	return len(s.far)
-}
-
-// GradeNews is a change of belief about a target.
-type GradeNews struct {
-	Target  TargetID
-	Failing bool
-	Share   float64 // of bad requests above that of its service
-	Own     Outcome // of this balancer's requests
-	Peers   Outcome // told by others
-}
-
-func (f *Forwarder) tellGrade(t *target, share float64) {
-	failing := t.extra > failingLoad || t.failing && t.extra > failingLoad/2
-	if failing == t.failing || len(f.gradeNews) == maxGradeNews {
-		return
-	}
-	t.failing = failing
-	f.gradeNews = append(f.gradeNews, GradeNews{t.ID, failing, share, t.record.Outcome, t.peerOutcome})
-}
-
-// maxGradeNews bounds the changes that wait to be taken.
-const maxGradeNews = 64
-
-// GradeNews returns the changes of belief since the last call.
-func (f *Forwarder) GradeNews() []GradeNews {
-	out := f.gradeNews
-	f.gradeNews = nil
-	return out
-}
-
-// regrade is due at each tick: counts fade, and doubts with them.
-func (f *Forwarder) regrade(now time.Duration) {
-	for _, t := range inOrder(f.doubtful) {
-		f.grade(now, t)
-		if t.record.Bad < 0.05 && t.peerOutcome.Bad < 0.05 && !t.failing {
-			t.extra = 0
-			delete(f.doubtful, t)
-		}
-	}
-}
-
-// Outcomes returns what is worth telling other balancers: how the requests of
-// this one ended at targets that failed some.
-func (f *Forwarder) Outcomes(now time.Duration) map[TargetID]Outcome {
-	out := map[TargetID]Outcome{}
-	for t := range f.doubtful {
-		s := f.service(t.Service)
-		t.record.fade(now)
-		s.record.fade(now)
-		if t.record.Bad >= worthTelling && s.record.share(0) < blindShare {
-			out[t.ID] = t.record.Outcome
-		}
-	}
-	return out
-}
-
-// BadSeen reports, once, whether a request has ended badly since the last call.
-func (f *Forwarder) BadSeen() bool {
-	seen := f.badSeen
-	f.badSeen = false
-	return seen
-}
-
-// SetPeerOutcomes replaces the sums of what the other balancers tell. The flows
-// of a data centre are spread over so many balancers, this one included.
-func (f *Forwarder) SetPeerOutcomes(sums map[TargetID]Outcome, spread int) {
-	f.spread = spread
-	for t := range f.doubtful {
-		t.peerOutcome = Outcome{}
-	}
-	for id, o := range sums {
-		if t := f.targets[id]; t != nil {
-			t.peerOutcome = o
-			f.doubtful[t] = true
-		}
-	}
-}
--- a/internal/direct/outcome_test.go
+++ b/internal/direct/outcome_test.go
@@ -92,8 +92,8 @@
 		b.now += departedMemory
 		b.f.Tick(b.now)
 	}
-	if len(b.f.doubtful) != 0 {
-		t.Errorf("%d targets are doubtful", len(b.f.doubtful))
+	if len(b.f.ends.doubtful) != 0 {
+		t.Errorf("%d targets are doubtful", len(b.f.ends.doubtful))
 	}
 }
 
