Judge a long answer at its end

Cause: requests were judged after six times the usual time to the first byte, also while the answer still came; a long one looked short there. Found by reading. It counts from the last acknowledgement now. TestLongAnswerIsJudgedAtItsEnd failed before.

--- a/internal/direct/answer_test.go
+++ b/internal/direct/answer_test.go
@@ -91,3 +91,29 @@
 		t.Errorf("%d requests without an answer, want 1", got)
 	}
 }
+
+// An answer of a gigabyte takes many seconds. It is judged when it has ended, not
+// in its midst, where it would look short.
+func TestLongAnswerIsJudgedAtItsEnd(t *testing.T) {
+	b := newFixture(t, target1(1, "a"))
+	id := b.open(1, streams)
+	for i := range uint32(40) {
+		b.request(1, id, 101+600*i, 1000+200000*i, 200000, 30*time.Millisecond)
+	}
+	b.ask(1, streams, id, 101+600*40, 1000+200000*40)
+	for i := range uint32(100) {
+		b.now += 50 * time.Millisecond
+		s := packet(1, streams, ACK, id.Cookie())
+		s.Seq, s.Ack = 401+600*40, 1000+200000*40+2000*(i+1)
+		b.handle(s)
+		b.f.Tick(b.now)
+	}
+	b.now += time.Second
+	b.f.Tick(b.now)
+	if got := b.f.CountAnswers(AnswerShort); got != 0 {
+		t.Errorf("%d short answers", got)
+	}
+	if got := b.f.CountAnswers(AnswerGood); got != 41 {
+		t.Errorf("%d good answers, want 41", got)
+	}
+}
--- a/internal/direct/observe.go
+++ b/internal/direct/observe.go
@@ -70,8 +70,8 @@
 		if fl.pending {
 			f.times.Answered(now - fl.asked)
 		}
-		if fl.answer.open && fl.answer.took == 0 {
-			fl.answer.took = now - fl.answer.began
+		if fl.answer.open {
+			fl.answer.acks(now)
 		}
 		fl.pending = false
 		f.idle(fl)
