--- a/cmd/rosedale/edge.go
+++ b/cmd/rosedale/edge.go
@@ -10,6 +10,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"rosedale.dev/rosedale/internal/edge"
 	"rosedale.dev/rosedale/internal/operator"
 )
 
@@ -52,13 +53,21 @@
 					continue
 				}
 				x := s.Status
-				t.row(x.VM, x.DataCenter, x.Ready, x.Reading, x.Version, x.Position, x.Age.Round(time.Millisecond), reach(x.StoreLost), x.Flows, len(x.Peers), "")
+				t.row(x.VM, x.DataCenter, x.Ready, x.Reading, x.Version, x.Position, age(x), reach(x.StoreLost), x.Flows, len(x.Peers), "")
 			}
 			return a.print(t, all)
 		},
 	}
 }
 
+// age says how old a balancer's copy of the store is at most.
+func age(s *edge.Status) string {
+	if s.Position == 0 {
+		return "no copy"
+	}
+	return s.Age.Round(time.Millisecond).String()
+}
+
 func reach(lost bool) string {
 	if lost {
 		return "lost"
@@ -82,14 +91,15 @@
 			if *differ {
 				return a.printDifferences(operator.Differences(all))
 			}
-			t := newTable("TARGET", "SERVICE", "DATA CENTRE", "ADDRESS", "VM", "STATE", "FLOWS", "BUSY", "LOAD", "SILENCE", "REPEATS", "FINDING")
+			t := newTable("TARGET", "SERVICE", "DATA CENTRE", "ADDRESS", "VM", "STATE", "FLOWS", "BUSY", "LOAD", "SILENCE", "REPEATS", "FINDING", "GOOD", "BAD", "PEERS' BAD")
 			for _, s := range all {
 				if s.Status == nil {
 					continue
 				}
 				for _, x := range s.Status.Targets {
 					t.row(x.ID, x.Service, x.DataCenter, x.Address, s.Status.VM, x.State, x.Flows, x.Busy,
-						fmt.Sprintf("%.2f", x.Load), x.Silence.Round(time.Millisecond), x.Repeats, x.Finding)
+						fmt.Sprintf("%.2f", x.Load), x.Silence.Round(time.Millisecond), x.Repeats, x.Finding,
+						fmt.Sprintf("%.1f", x.Good), fmt.Sprintf("%.1f", x.Bad), fmt.Sprintf("%.1f", x.PeerBad))
 				}
 			}
 			return a.print(t, all)
