--- /dev/null
+++ b/internal/edge/checks.go
@@ -0,0 +1,61 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rosedale.dev/rosedale/internal/direct"
+)
+
+// lookSoon has suspicious targets checked at once. It is for other goroutines.
+func (c *control) lookSoon() {
+	select {
+	case c.look <- struct{}{}:
+	default: // it is due already
+	}
+}
+
+func (c *control) checkSuspects(ctx context.Context, now time.Duration) {
+	c.edge.mu.Lock()
+	suspects := c.edge.forward.Suspects(now)
+	c.edge.mu.Unlock()
+	for _, t := range suspects {
+		c.check(ctx, t)
+	}
+}
+
+// check asks a suspected target whether it is there.
+func (c *control) check(ctx context.Context, t direct.Target) {
+	c.edge.counts.checks.Add(1)
+	path := c.edge.healthPath(t.Service)
+	go func() {
+		x, err := c.checker.Check(ctx, t, path)
+		c.post(func() { c.checked(t, x, err) })
+	}()
+}
+
+func (c *control) checked(t direct.Target, x direct.Finding, err error) {
+	now := c.now()
+	c.edge.mu.Lock()
+	v := c.edge.forward.Checked(now, t.ID, x)
+	due := c.edge.forward.Due()
+	c.edge.mu.Unlock()
+	if due {
+		c.lookSoon()
+	}
+	for i := range v.Resets {
+		c.edge.packets.reset(&v.Resets[i])
+		c.edge.logDecision(now, &v.Resets[i], direct.Decision{Verb: direct.Reset, Reason: direct.ResetSilent}, t.ID)
+	}
+	c.log.Info("target checked", zap.String("target", t.ID.String()), zap.Stringer("address", t.Addr),
+		zap.Stringer("finding", x), zap.Error(err))
+	if x != direct.Alive {
+		c.edge.counts.checksFailed.Add(1)
+	}
+	if v.News {
+		c.alarmDue = true
+		c.alarmIfDue(now)
+	}
+}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -11,7 +11,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"rosedale.dev/rosedale/internal/direct"
 	"rosedale.dev/rosedale/internal/peer"
 	"rosedale.dev/rosedale/internal/replica"
 	"rosedale.dev/rosedale/platform"
@@ -169,23 +168,6 @@
 	c.heartbeat(now)
 }
 
-// lookSoon has suspicious targets checked at once. It is for other goroutines.
-func (c *control) lookSoon() {
-	select {
-	case c.look <- struct{}{}:
-	default: // it is due already
-	}
-}
-
-func (c *control) checkSuspects(ctx context.Context, now time.Duration) {
-	c.edge.mu.Lock()
-	suspects := c.edge.forward.Suspects(now)
-	c.edge.mu.Unlock()
-	for _, t := range suspects {
-		c.check(ctx, t)
-	}
-}
-
 // apply puts changes of the copy in force.
 func (c *control) apply(items []replica.Item, source string) {
 	now := c.now()
@@ -273,37 +255,3 @@
 		c.log.Info("target gone", zap.Stringer("target", id), zap.Int64("revision", i.Revision), zap.String("source", source))
 	}
 }
-
-// check asks a suspected target whether it is there.
-func (c *control) check(ctx context.Context, t direct.Target) {
-	c.edge.counts.checks.Add(1)
-	path := c.edge.healthPath(t.Service)
-	go func() {
-		x, err := c.checker.Check(ctx, t, path)
-		c.post(func() { c.checked(t, x, err) })
-	}()
-}
-
-func (c *control) checked(t direct.Target, x direct.Finding, err error) {
-	now := c.now()
-	c.edge.mu.Lock()
-	v := c.edge.forward.Checked(now, t.ID, x)
-	due := c.edge.forward.Due()
-	c.edge.mu.Unlock()
-	if due {
-		c.lookSoon()
-	}
-	for i := range v.Resets {
-		c.edge.packets.reset(&v.Resets[i])
-		c.edge.logDecision(now, &v.Resets[i], direct.Decision{Verb: direct.Reset, Reason: direct.ResetSilent}, t.ID)
-	}
-	c.log.Info("target checked", zap.String("target", t.ID.String()), zap.Stringer("address", t.Addr),
-		zap.Stringer("finding", x), zap.Error(err))
-	if x != direct.Alive {
-		c.edge.counts.checksFailed.Add(1)
-	}
-	if v.News {
-		c.alarmDue = true
-		c.alarmIfDue(now)
-	}
-}
