Model: targets that close before they end, copies of openings at other balancers

A target closes only once all balancers know that it leaves, as on the platform; without that the model found the reset by a balancer that does not know, which the drain time rules out.

--- a/internal/direct/model_test.go
+++ b/internal/direct/model_test.go
@@ -32,6 +32,9 @@
 type modelTarget struct {
 	Target
 	ended bool
+	// closed tells that it takes no more connections, as it is about to end, and
+	// still answers its flows. waits tells that a caller has repeated since.
+	closed, waits bool
 }
 
 type modelFlow struct {
@@ -102,8 +105,9 @@
 }
 
 // open is a caller's opening through a balancer, and its first packet through
-// another one.
-func (m *model) open(to netip.AddrPort, first, second int) {
+// another one. A copy of the opening may have come to that one first, and to another
+// target, whose answer the caller does not take.
+func (m *model) open(to netip.AddrPort, first, second int, copied bool) {
 	m.nextPort++
 	fl := &modelFlow{key: FlowKey{netip.AddrPortFrom(netip.MustParseAddr("100.64.0.1"), m.nextPort), to}, seq: 101, ack: 1000}
 	d := m.balancers[first].Handle(m.now, &Segment{Caller: fl.key.Caller, Address: to, Seq: 100, Flags: SYN})
@@ -123,6 +127,9 @@
 		return
 	}
 	m.now += 6 * time.Millisecond
+	if copied {
+		m.balancers[second].Handle(m.now, &Segment{Caller: fl.key.Caller, Address: to, Seq: 100, Ack: 1, Flags: SYN})
+	}
 	m.flows = append(m.flows, fl)
 	m.send(fl, second, 0, true)
 }
@@ -133,6 +140,7 @@
 	if progress && !fl.target.ended {
 		fl.ack += 500
 	}
+	fl.target.waits = fl.target.waits || fl.target.closed && !progress && length > 0
 	s.Ack = fl.ack
 	d := m.balancers[i].Handle(m.now, s)
 	switch d.Verb {
@@ -147,7 +155,7 @@
 }
 
 func (m *model) mayReset(fl *modelFlow, why Reason) {
-	if !fl.target.ended && !fl.dropped {
+	if !fl.target.ended && !fl.target.waits && !fl.dropped {
 		m.fail("%v: a flow of a living target was reset", why)
 	}
 }
@@ -155,7 +163,7 @@
 func (m *model) checked(i int, x *modelTarget, reachable bool) {
 	finding := Alive
 	switch {
-	case x.ended:
+	case x.ended, x.closed:
 		finding = Gone
 	case !reachable:
 		return // a cut: judged only while other targets show life, see suspect_test.go
@@ -177,7 +185,7 @@
 	switch rapid.IntRange(0, 10).Draw(t, "event") {
 	case 0, 1:
 		to := []netip.AddrPort{streams, notes, extraRoute}[rapid.IntRange(0, 2).Draw(t, "address")]
-		m.open(to, i, j)
+		m.open(to, i, j, rapid.Bool().Draw(t, "copied"))
 	case 2, 3, 4:
 		if fl := m.pick(t); fl != nil {
 			m.send(fl, i, rapid.SampledFrom([]int{0, 300}).Draw(t, "length"), rapid.Bool().Draw(t, "progress"))
@@ -194,6 +202,7 @@
 	case 8:
 		x.Draining = true
 		x.ended = rapid.Bool().Draw(t, "ended") || x.ended
+		x.closed = rapid.Bool().Draw(t, "closed") && m.announced(x) || x.closed
 	case 9:
 		for _, want := range m.balancers[i].Suspects(m.now) {
 			m.checked(i, m.byID(want.ID), true)
@@ -216,6 +225,17 @@
 	}
 }
 
+// announced reports whether all balancers know that a target leaves: it ends no
+// sooner, seconds after its announcement.
+func (m *model) announced(x *modelTarget) bool {
+	for _, f := range m.balancers {
+		if known := f.targets[x.ID]; known != nil && !known.Draining {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *model) pick(t *rapid.T) *modelFlow {
 	var open []*modelFlow
 	for _, fl := range m.flows {
