Hand callers to another data centre when most balancers of this one are dead

Cause: with fewer than half of a data centre's balancers ready, routers use all of them.

A balancer that hears fewer than half of its own data centre, and half or more of another one, is not ready now, so that the routers go elsewhere.

Large fleets do not know who lives, and keep the routers' way.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -159,6 +159,7 @@
 	e.mu.Unlock()
 	c.logGrades(grades)
 	c.checkSuspects(ctx, now)
+	c.yieldIfOutnumbered(now)
 	if c.ticks%lossTicks == 0 {
 		c.forgetUnregistered()
 		c.log.reportLost()
--- /dev/null
+++ b/internal/edge/outnumbered_test.go
@@ -0,0 +1,55 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"rosedale.dev/rosedale/internal/peer"
+	"rosedale.dev/rosedale/platform"
+)
+
+// Two of a data centre's three balancers fall silent. The third one tells the
+// routers to use another data centre, and is back as soon as one of them is. A
+// planned stop and the first moments after a start count as nobody's loss.
+func TestOutnumberedBalancerYields(t *testing.T) {
+	c := &control{edge: &Edge{boot: platform.Boot{VM: "a1", DataCenter: "a"}, ready: &ready{}}, peers: map[string]*neighbour{}}
+	log, err := NewLogger(&output{}, "info", c.edge.boot)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close()
+	c.log = log
+	c.edge.ready.set(true)
+	c.fleet = peer.NewFleet(c.edge.member())
+	for vm, dc := range map[string]string{"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b"} {
+		c.fleet.Put(vm, peer.Member{VM: vm, DataCenter: dc})
+	}
+	now := time.Duration(0)
+	hear := func(leaving bool, vms ...string) {
+		for _, vm := range vms {
+			c.peers[vm] = &neighbour{heard: now, last: peer.Heartbeat{From: vm, Leaving: leaving}}
+		}
+	}
+	want := func(what string, ready bool) {
+		t.Helper()
+		c.yieldIfOutnumbered(now)
+		if got := c.edge.ready.now(); got != ready {
+			t.Errorf("%s: ready %v, want %v", what, got, ready)
+		}
+	}
+	want("just started", true)
+	now = 10 * time.Second
+	hear(false, "a2", "a3", "b1", "b2")
+	want("all are heard", true)
+	now += 2 * lostAfter
+	hear(false, "b1", "b2")
+	want("two of three are silent", false)
+	hear(false, "a2")
+	want("one is back", true)
+	now += 2 * lostAfter
+	hear(false, "b1", "b2")
+	hear(true, "a3")
+	want("one is silent, one stops as planned", true)
+	now += 2 * lostAfter
+	want("nobody is heard", true)
+}
--- a/internal/edge/ready.go
+++ b/internal/edge/ready.go
@@ -16,6 +16,8 @@
 type ready struct {
 	srv *http.Server
 	ok  atomic.Bool
+	// yielding tells that other data centres are to serve; see yieldIfOutnumbered.
+	yielding atomic.Bool
 }
 
 func listenReady(e *Edge) (*ready, error) {
@@ -26,7 +28,7 @@
 	r := &ready{}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !r.ok.Load() {
+		if !r.now() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
@@ -41,4 +43,11 @@
 
 func (r *ready) set(ok bool) { r.ok.Store(ok) }
 
+// now reports whether the routers are told to send packets here.
+func (r *ready) now() bool { return r.ok.Load() && !r.yielding.Load() }
+
+// yields sets whether other data centres are to serve, and returns whether they
+// were before.
+func (r *ready) yields(on bool) bool { return r.yielding.Swap(on) }
+
 func (r *ready) close() { _ = r.srv.Close() }
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -46,7 +46,7 @@
 	now := c.now()
 	s := Status{
 		VM: c.edge.boot.VM, DataCenter: c.edge.boot.DataCenter, Up: now,
-		Ready: c.edge.ready.ok.Load(), Leaving: c.leaving, Version: c.version,
+		Ready: c.edge.ready.now(), Leaving: c.leaving, Version: c.version,
 		Position: c.replica.Position(), Age: c.replica.Age(now), Reading: c.reader.Reading(), StoreLost: c.storeLost,
 	}
 	for name, n := range c.peers {
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 )
@@ -53,6 +54,9 @@
 	return m, ok
 }
 
+// Members returns all registered balancers.
+func (f *Fleet) Members() []Member { return slices.Collect(maps.Values(f.members)) }
+
 // Small reports whether all balancers exchange heartbeats.
 func (f *Fleet) Small() bool { return len(f.members) <= Small }
 
