Register again also if the registration goes while its lease is renewed

Cause: found by reading. A renewal under way when the registration was taken away set the next one 20 s later, and renewed the lease alone then, so that the key stayed missing for good. TestRegistrationTakenAwayDuringRenewal failed before.

--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -28,7 +28,8 @@
 type lease struct {
 	id   int64
 	due  time.Duration
-	busy bool
+	busy bool // a call is under way
+	lost bool // the registration was taken away meanwhile
 }
 
 // renewIfDue registers this balancer or renews its lease.
@@ -58,6 +59,7 @@
 func (l *lease) revoked(c *control, now time.Duration) {
 	c.log.Warn("registration was taken away", zap.Int64("lease", l.id))
 	l.id = 0
+	l.lost = l.busy
 	l.due = now + time.Duration(c.fleet.Rank())*rankPause
 }
 
@@ -70,6 +72,11 @@
 		c.log.Warn("not registered", zap.Error(err))
 		l.due = c.now() + leaseRetry
 	}
+	if l.lost {
+		l.lost = false
+		l.id = 0
+		l.due = c.now()
+	}
 }
 
 // register runs on a goroutine of its own. It returns the lease in force, or 0.
