--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -3,7 +3,6 @@
 import (
 	"rosedale.dev/rosedale/internal/flow"
 	"rosedale.dev/rosedale/internal/geneve"
-	"rosedale.dev/rosedale/internal/packet"
 )
 
 // hopLimit bounds the balancers that one packet passes, whatever their views.
@@ -268,34 +267,3 @@
 		c.admitWaiting(c.addr.Service)
 	}
 }
-
-func packetReason(err error) Reason {
-	switch err {
-	case packet.ErrShort:
-		return DropPacketShort
-	case packet.ErrVersion:
-		return DropPacketVersion
-	case packet.ErrLength:
-		return DropPacketLength
-	case packet.ErrFragment:
-		return DropPacketFragment
-	case packet.ErrProtocol:
-		return DropPacketProtocol
-	}
-	return DropPacketTCP
-}
-
-// GeneveReason returns the counter of a decapsulation error.
-func GeneveReason(err error) Reason {
-	switch err {
-	case geneve.ErrShort:
-		return DropGeneveShort
-	case geneve.ErrVersion:
-		return DropGeneveVersion
-	case geneve.ErrProtocol:
-		return DropGeneveProtocol
-	case geneve.ErrOption:
-		return DropGeneveOption
-	}
-	return DropGeneveCritical
-}
--- a/internal/router/reason.go
+++ b/internal/router/reason.go
@@ -1,5 +1,10 @@
 package router
 
+import (
+	"rosedale.dev/rosedale/internal/geneve"
+	"rosedale.dev/rosedale/internal/packet"
+)
+
 // Reason says why a packet was refused, dropped or sent another way. Each has
 // a counter.
 type Reason uint8
@@ -92,3 +97,34 @@
 	}
 	return out
 }
+
+func packetReason(err error) Reason {
+	switch err {
+	case packet.ErrShort:
+		return DropPacketShort
+	case packet.ErrVersion:
+		return DropPacketVersion
+	case packet.ErrLength:
+		return DropPacketLength
+	case packet.ErrFragment:
+		return DropPacketFragment
+	case packet.ErrProtocol:
+		return DropPacketProtocol
+	}
+	return DropPacketTCP
+}
+
+// GeneveReason returns the counter of a decapsulation error.
+func GeneveReason(err error) Reason {
+	switch err {
+	case geneve.ErrShort:
+		return DropGeneveShort
+	case geneve.ErrVersion:
+		return DropGeneveVersion
+	case geneve.ErrProtocol:
+		return DropGeneveProtocol
+	case geneve.ErrOption:
+		return DropGeneveOption
+	}
+	return DropGeneveCritical
+}
