Serve at targets that have just lapsed if no registered one is left

Cause: with the store silent for 8 s and its leases running out, all registrations are gone when it is back, and living targets register again within a second or two. They go to targets whose registration lapsed less than 1.2 s ago now, before those that have announced their end.

Ruled out: a longer time (a target that is gone must not be reached after the drain bound; news takes 1.3 s). TestLapsedTargetsServeForAMoment failed before. TestCookieCollision expected a reset at once after a target had lapsed, which is the fault; it expects it after those 1.2 s now, and still that no opening goes to the target whose cookie is taken.

--- a/internal/direct/news_test.go
+++ b/internal/direct/news_test.go
@@ -31,6 +31,7 @@
 		}
 	}
 	b.f.RemoveTarget(b.now, 0x100000001)
+	b.now += lateDrain // for so long a lapsed target may still get openings
 	b.want(b.handle(packet(99, streams, SYN, 0)), ResetNoTarget)
 	b.now += 3 * time.Minute
 	b.f.Tick(b.now)
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -110,11 +110,12 @@
 // Failure: all targets are suspected or leave. It shows as callers who are
 // turned away although a target would have served them, as suspicions may be
 // wrong and a leaving target still accepts openings for a while. Then any that
-// is registered will do, and last one that has just announced that it leaves.
+// is registered will do, then one whose registration has just lapsed, and last one that
+// has just announced that it leaves.
 func (f *Forwarder) place(now time.Duration, s *service, avoid [2]TargetID) (choice, Reason) {
 	var c choice
 	var why Reason
-	for _, may := range []func(*target, time.Duration) bool{(*target).eligible, (*target).registered, (*target).leaving} {
+	for _, may := range []func(*target, time.Duration) bool{(*target).eligible, (*target).registered, (*target).lapsed, (*target).leaving} {
 		if c, why = f.placeAmong(now, s, avoid, may); c.target != nil {
 			break
 		}
--- a/internal/direct/place_test.go
+++ b/internal/direct/place_test.go
@@ -92,3 +92,25 @@
 	}
 	b.want(b.handle(packet(99, streams, SYN, 0)), ResetNoTarget)
 }
+
+// The store was away, and all registrations have lapsed when it is back. The targets
+// live and register again within a second or two; until then openings go to them,
+// but to none that had said it would leave, refuses connections, or stays away.
+func TestLapsedTargetsServeForAMoment(t *testing.T) {
+	b := newFixture(t, target1(1, "a"), target1(2, "a"), target1(3, "a"))
+	left := b.state(2).Target
+	left.Draining = true
+	b.f.PutTarget(b.now, left)
+	for id := range TargetID(3) {
+		b.f.RemoveTarget(b.now, id+1)
+	}
+	b.f.Checked(b.now, 3, Gone)
+	for port := range uint16(5) {
+		d := b.handle(packet(1+port, streams, SYN, 0))
+		if d.Verb != Forward || d.Target.ID != 1 {
+			t.Fatalf("opening: %v, want it to go to the target that lapsed", d.Reason)
+		}
+	}
+	b.now += lateDrain
+	b.want(b.handle(packet(100, streams, SYN, 0)), ResetNoTarget)
+}
--- a/internal/direct/targetstate.go
+++ b/internal/direct/targetstate.go
@@ -54,7 +54,7 @@
 }
 
 // lateDrain is how long after its announcement was heard a draining target may
-// still get new flows: news takes up to 1.3 s, and the bound is 3 s.
+// still get new flows, and a lapsed one: news takes up to 1.3 s, and the bound is 3 s.
 const lateDrain = 1200 * time.Millisecond
 
 // leaving reports whether new flows may go to the target if all others are
@@ -63,6 +63,16 @@
 	return !t.departed && t.Draining && !t.shadowed && t.finding != Gone && now-t.drainSince < lateDrain
 }
 
+// lapsed reports whether new flows may go to the target if no registered one is
+// left: its own has just gone, though it had not said that it would leave.
+//
+// Failure: registrations run out while the store is away, and are all gone when it
+// is back. It shows as callers who are told that there is no target, for a second or
+// two, until living targets have registered again: 33 openings of one outage.
+func (t *target) lapsed(now time.Duration) bool {
+	return t.departed && !t.left && !t.dead && !t.shadowed && t.finding != Gone && now-t.endedAt < lateDrain
+}
+
 // cleared reports whether nothing speaks against the target any more.
 func (t *target) cleared() bool {
 	return !t.dead && !t.verify && !t.overdue && !t.checking && t.stalls == 0 && t.failed == 0
