One piece of code where the change had written two

Found by reading the whole change again.

* The counters of packets and of answers read the forwarder through one function.
* Reasons and answers are listed by one function; the list of answers could have missed a new one.
* Loads are added as outcomes are, also in the replays, which had two loops for it.
* "Heard and not stopping" is one method of a neighbour instead of two conditions.
* The stand-in target parses a packet once; the check of handshakes parsed it again.
* Tests of single decisions share one bare control; the soak waits for a process's end in one place.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -18,7 +18,7 @@
 func (a Answer) String() string { return answerNames[a] }
 
 // Answers returns all ends of requests.
-func Answers() []Answer { return []Answer{AnswerGood, AnswerSlow, AnswerShort, AnswerNone} }
+func Answers() []Answer { return all(answers) }
 
 // weight is how much of a bad request it is. A slow answer is still an answer,
 // and slow targets also look busy.
--- a/internal/direct/reason.go
+++ b/internal/direct/reason.go
@@ -32,10 +32,13 @@
 func (r Reason) String() string { return reasonNames[r] }
 
 // Reasons returns all reasons.
-func Reasons() []Reason {
-	out := make([]Reason, reasons)
+func Reasons() []Reason { return all(reasons) }
+
+// all returns the values of an enumeration below n.
+func all[T ~uint8](n T) []T {
+	out := make([]T, n)
 	for i := range out {
-		out[i] = Reason(i)
+		out[i] = T(i)
 	}
 	return out
 }
--- a/internal/direct/replay_test.go
+++ b/internal/direct/replay_test.go
@@ -156,44 +156,34 @@
 
 // exchange is a tick of all balancers: they tell one another their loads.
 func (r *replay) exchange() {
-	all := make([]map[TargetID]Load, len(r.balancers))
+	loads := make([]map[TargetID]Load, len(r.balancers))
 	for i, b := range r.balancers {
-		all[i] = b.f.Loads()
+		loads[i] = b.f.Loads()
 	}
 	answers := make([]map[TargetID]Outcome, len(r.balancers))
 	for i, b := range r.balancers {
 		answers[i] = b.f.Outcomes(r.now)
 	}
 	for i, b := range r.balancers {
-		b.f.SetPeerOutcomes(r.others(answers, i), r.inCentre(b.centre))
+		b.f.SetPeerOutcomes(others(answers, i, Outcome.Plus), r.inCentre(b.centre))
 	}
 	for i, b := range r.balancers {
-		sum := map[TargetID]Load{}
-		for j, l := range all {
-			if i == j {
-				continue
-			}
-			for id, x := range l {
-				y := sum[id]
-				sum[id] = Load{y.Flows + x.Flows, y.Busy + x.Busy}
-			}
-		}
-		b.f.SetPeerLoads(sum)
+		b.f.SetPeerLoads(others(loads, i, Load.Plus))
 		b.f.Tick(r.now)
 		r.check(b)
 	}
 	r.imbalance()
 }
 
-// others sums the outcomes that all balancers but the i-th tell.
-func (r *replay) others(answers []map[TargetID]Outcome, i int) map[TargetID]Outcome {
-	sum := map[TargetID]Outcome{}
-	for j, m := range answers {
+// others sums what all balancers but the i-th tell.
+func others[T any](told []map[TargetID]T, i int, plus func(T, T) T) map[TargetID]T {
+	sum := map[TargetID]T{}
+	for j, m := range told {
 		if j == i {
 			continue
 		}
 		for id, x := range m {
-			sum[id] = sum[id].Plus(x)
+			sum[id] = plus(sum[id], x)
 		}
 	}
 	return sum
--- a/internal/direct/targetstate.go
+++ b/internal/direct/targetstate.go
@@ -42,6 +42,9 @@
 	Busy  int // requests under way
 }
 
+// Plus returns the sum of two loads.
+func (l Load) Plus(x Load) Load { return Load{l.Flows + x.Flows, l.Busy + x.Busy} }
+
 // eligible reports whether new flows may go to the target.
 func (t *target) eligible(now time.Duration) bool {
 	return !t.departed && !t.Draining && !t.dead && !t.shadowed && now >= t.avoidUntil
--- a/internal/edge/lease_test.go
+++ b/internal/edge/lease_test.go
@@ -1,24 +1,11 @@
 package edge
 
-import (
-	"testing"
-	"time"
-
-	"rosedale.dev/rosedale/internal/peer"
-	"rosedale.dev/rosedale/platform"
-)
+import "testing"
 
 // The store takes a registration away while its lease is being renewed: the
 // renewal succeeds, and the key is gone. A new registration must be due at once.
 func TestRegistrationTakenAwayDuringRenewal(t *testing.T) {
-	c := &control{edge: &Edge{boot: platform.Boot{VM: "a1", DataCenter: "a"}, start: time.Now()}}
-	log, err := NewLogger(&output{}, "info", c.edge.boot)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer log.Close()
-	c.log = log
-	c.fleet = peer.NewFleet(c.edge.member())
+	c := bareControl(t)
 	c.lease = lease{id: 5, busy: true}
 	c.lease.revoked(c, c.now())
 	c.lease.renewed(c, 5, nil)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -9,18 +9,10 @@
 
 func (e *Edge) publish(m *metrics.Collector) {
 	for _, r := range direct.Reasons() {
-		m.Counter("packets_"+r.String(), func() uint64 {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			return e.forward.Count(r)
-		})
+		m.Counter("packets_"+r.String(), e.locked(func() uint64 { return e.forward.Count(r) }))
 	}
 	for _, a := range direct.Answers() {
-		m.Counter("answers_"+a.String(), func() uint64 {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			return e.forward.CountAnswers(a)
-		})
+		m.Counter("answers_"+a.String(), e.locked(func() uint64 { return e.forward.CountAnswers(a) }))
 	}
 	m.Gauge("flows", func() float64 { return float64(e.flows()) })
 	m.Gauge("copy_age_seconds", func() float64 { return (e.now() - time.Duration(e.proven.Load())).Seconds() })
@@ -40,3 +32,12 @@
 	m.Counter("changes_applied", n.changes.Load)
 	m.Counter("log_lines_lost", e.log.Lost)
 }
+
+// locked returns a reader of what the forwarder counts.
+func (e *Edge) locked(read func() uint64) func() uint64 {
+	return func() uint64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return read()
+	}
+}
--- a/internal/edge/outnumbered_test.go
+++ b/internal/edge/outnumbered_test.go
@@ -5,22 +5,14 @@
 	"time"
 
 	"rosedale.dev/rosedale/internal/peer"
-	"rosedale.dev/rosedale/platform"
 )
 
 // Two of a data centre's three balancers fall silent. The third one tells the
 // routers to use another data centre, and is back as soon as one of them is. A
 // planned stop and the first moments after a start count as nobody's loss.
 func TestOutnumberedBalancerYields(t *testing.T) {
-	c := &control{edge: &Edge{boot: platform.Boot{VM: "a1", DataCenter: "a"}, ready: &ready{}}, peers: map[string]*neighbour{}}
-	log, err := NewLogger(&output{}, "info", c.edge.boot)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer log.Close()
-	c.log = log
+	c := bareControl(t)
 	c.edge.ready.set(true)
-	c.fleet = peer.NewFleet(c.edge.member())
 	for vm, dc := range map[string]string{"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b"} {
 		c.fleet.Put(vm, peer.Member{VM: vm, DataCenter: dc})
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -80,6 +80,11 @@
 	}
 }
 
+// stays reports whether a balancer is heard and does not stop.
+func (n *neighbour) stays(now time.Duration) bool {
+	return now-n.heard <= peerSilent && !n.last.Leaving
+}
+
 // served reports whether a balancer that comes before this one reads the store.
 func (c *control) served(now time.Duration) bool {
 	for name, n := range c.peers {
@@ -87,7 +92,7 @@
 			delete(c.peers, name)
 			continue
 		}
-		if now-n.heard <= peerSilent && !n.last.Leaving && n.last.Reading && c.fleet.Before(name) {
+		if n.stays(now) && n.last.Reading && c.fleet.Before(name) {
 			return true
 		}
 	}
@@ -102,10 +107,8 @@
 			continue
 		}
 		for _, u := range n.last.Loads {
-			l := out[direct.TargetID(u.ID)]
-			l.Flows += u.Flows
-			l.Busy += u.Busy
-			out[direct.TargetID(u.ID)] = l
+			id := direct.TargetID(u.ID)
+			out[id] = out[id].Plus(direct.Load{Flows: u.Flows, Busy: u.Busy})
 		}
 	}
 	return out
@@ -116,7 +119,7 @@
 func (c *control) peerOutcomes(now time.Duration) map[direct.TargetID]direct.Outcome {
 	out := map[direct.TargetID]direct.Outcome{}
 	for _, n := range c.peers {
-		if n.last.DataCenter != c.edge.boot.DataCenter || len(n.last.Outcomes) == 0 {
+		if n.last.DataCenter != c.edge.boot.DataCenter {
 			continue
 		}
 		for _, o := range n.last.Outcomes {
@@ -163,7 +166,7 @@
 // arrive.
 func (c *control) hears(key string) bool {
 	n := c.peers[strings.TrimPrefix(key, platform.MemberPrefix)]
-	return n != nil && !n.last.Leaving && c.now()-n.heard <= peerSilent
+	return n != nil && n.stays(c.now())
 }
 
 // forgetUnregistered ends the membership of balancers that have lost their
--- a/internal/standin/target/endpoint.go
+++ b/internal/standin/target/endpoint.go
@@ -174,21 +174,21 @@
 			continue
 		}
 		d, err := geneve.Parse(b[:n])
-		if err != nil || e.drops(from.Addr().Unmap(), &d) || e.resets(d.Inner) {
+		if err != nil {
+			continue
+		}
+		seg, err := packet.Parse(d.Inner)
+		if err != nil || e.drops(from.Addr().Unmap(), d.VNI, &seg) || e.resets(&seg) {
 			continue
 		}
 		e.net.Inject(d.Inner)
 	}
 }
 
-func (e *Endpoint) drops(from netip.Addr, d *geneve.Datagram) bool {
-	seg, err := packet.Parse(d.Inner)
-	if err != nil {
-		return true
-	}
+func (e *Endpoint) drops(from netip.Addr, number uint32, seg *packet.Segment) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if d.VNI != e.Service.Number {
+	if number != e.Service.Number {
 		e.stats.WrongNumber++
 		return true
 	}
@@ -202,16 +202,12 @@
 
 // resets answers a packet with a reset if it belongs to another target's
 // connection.
-func (e *Endpoint) resets(b []byte) bool {
-	seg, err := packet.Parse(b)
-	if err != nil {
-		return false
-	}
+func (e *Endpoint) resets(seg *packet.Segment) bool {
 	e.mu.Lock()
-	strange := e.begun.strange(&seg)
+	strange := e.begun.strange(seg)
 	e.mu.Unlock()
 	if strange {
-		e.transmit(packet.ResetTo(&seg))
+		e.transmit(packet.ResetTo(seg))
 	}
 	return strange
 }
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -130,17 +130,15 @@
 	cmd, ended := n.cmd, n.ended
 	_ = cmd.Process.Signal(s)
 	return func() {
+		began := time.Now()
+		<-ended
 		if s == syscall.SIGTERM {
-			began := time.Now()
-			<-ended
 			if took := time.Since(began); took > 4*time.Second {
 				w.t.Errorf("a planned stop took %v more", took)
 			}
 			if code := cmd.ProcessState.ExitCode(); code != 0 {
 				w.t.Errorf("a planned stop ended with %d", code)
 			}
-		} else {
-			<-ended
 		}
 		w.start(n)
 	}
