Copies of the store claim no history that they jumped over

Registrations lapse while the store is away and come back as they were. A balancer that lists the store sees no change in that, so it neither kept the return in its log nor told of it; peers that had started in between lacked the registration until everything was listed again, and reset idle flows of a living target (reset_unknown). Two more ways to the same end were found by a random model of copies, a store that forgets, and answers that overtake each other: a balancer that has just listed confirmed peers that lacked a removal, and an old full copy of a cut-off peer brought a lapsed key back.

Change: a listing counts all newer items as changes and leaves a gap in the log; what peers tell is always passed on; answers that others have overtaken are dropped; heartbeats say since when their sender knows all changes (field 13, ignored by older balancers, which are taken to know all).

Ruled out: lost heartbeats (the peers' positions were right), the 0.3 s margin.

--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -187,7 +187,7 @@
 		c.stopFirstRead()
 		return
 	}
-	c.applyChanges(c.replica.Apply(items, ch.Position, proven), from.String(), asked)
+	c.applyChanges(c.replica.Merge(items, ch.Position, proven), from.String(), asked)
 }
 
 // fetchIfOld asks other balancers in turn while nothing is known at all, or the
--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -100,6 +100,7 @@
 	if c.replica.Loaded() {
 		h.Position = c.replica.Position()
 		h.LastChange = c.replica.LastChange()
+		h.History = c.replica.History()
 		h.Age = c.replica.Age(now)
 		h.Reading = c.reader.Succeeding() && now-c.readDone < peerSilent
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -22,6 +22,10 @@
 	peerForgotten = time.Minute
 	// loadMemory is how long the loads of a silent balancer count.
 	loadMemory = time.Second
+	// unprovenAge is the age of the copy from which on it is taken from a balancer
+	// that has just listed the store: above the 0.9 s that reads and heartbeats take,
+	// and below the age at which this balancer would read the store itself.
+	unprovenAge = time.Second
 )
 
 // receive reads heartbeats until the socket is closed.
@@ -59,12 +63,28 @@
 		c.peers[h.From] = n
 	}
 	n.last, n.heard = h, now
-	if h.Position > 0 && !c.replica.Confirm(h.Position, h.LastChange, now-h.Age) && !c.reader.Succeeding() {
+	if c.lacks(now, h) && !c.reader.Succeeding() {
 		c.fetchChanges(ctx, h.Control)
 	}
 	c.found(now, h)
 }
 
+// lacks takes what a balancer says of its copy, and reports whether this one's had
+// better be brought up to it. One that may lack something takes it from a reader, or
+// from anybody if no reader has confirmed it for a while.
+func (c *control) lacks(now time.Duration, h peer.Heartbeat) bool {
+	if h.Position == 0 {
+		return false
+	}
+	switch c.replica.Confirm(h.Position, h.LastChange, h.History, now-h.Age) {
+	case replica.Behind:
+		return true
+	case replica.Unproven:
+		return h.Reading || c.replica.Age(now) > unprovenAge
+	}
+	return false
+}
+
 // found takes over findings about targets.
 func (c *control) found(now time.Duration, h peer.Heartbeat) {
 	if len(h.Suspected) == 0 {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -49,6 +49,9 @@
 	Leaving bool `cbor:"11,keyasint,omitempty"`
 	// Outcomes are of the sender's requests at targets that failed some.
 	Outcomes []TargetOutcome `cbor:"12,keyasint,omitempty"`
+	// History is the revision after which the sender knows all changes that
+	// mattered. Balancers of the first version leave it out, and know all.
+	History int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // TargetUse is what the sender's flows hold at a target, as an array to keep
--- /dev/null
+++ b/internal/replica/history_test.go
@@ -0,0 +1,169 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// history is the store: all writes in order, of which it may have dropped the older.
+type history struct {
+	items []Item // the i-th has revision i+1
+	kept  int64  // changes up to here are no longer told
+}
+
+// at returns what existed at a revision.
+func (h *history) at(revision int64) map[string]Item {
+	out := map[string]Item{}
+	for _, i := range h.items[:revision] {
+		out[i.Key] = i
+		if i.Deleted {
+			delete(out, i.Key)
+		}
+	}
+	return out
+}
+
+func (h *history) last() int64 { return int64(len(h.items)) }
+
+// write adds a random write: a heartbeat, a change, a removal or a key that comes back.
+func (h *history) write(rng *rand.Rand) {
+	rev := h.last() + 1
+	key := strconv.Itoa(rng.IntN(4))
+	old, exists := h.at(h.last())[key]
+	switch {
+	case exists && rng.IntN(3) == 0:
+		h.items = append(h.items, gone(key, rev))
+	case exists && rng.IntN(2) == 0:
+		h.items = append(h.items, put(key, strings.TrimSuffix(string(old.Value), "+")+"+", rev))
+	default:
+		h.items = append(h.items, put(key, strconv.Itoa(rng.IntN(2)), rev))
+	}
+}
+
+// answer is what a copy asked for and has not got yet.
+type answer func(*Replica)
+
+// read asks the store for a copy, as a reader does.
+func (h *history) read(r *Replica, rng *rand.Rand) answer {
+	if r.Loaded() && r.Position() >= h.kept {
+		items, at := h.items[min(r.Position(), h.last()):], h.last()
+		return func(r *Replica) { r.Apply(items, at, 0) }
+	}
+	all, at := h.list(rng)
+	return func(r *Replica) { r.Replace(all, at, 0) }
+}
+
+// list returns pages of the store and its revision before the first one. The later
+// pages may be newer, as writes go on between them.
+func (h *history) list(rng *rand.Rand) ([]Item, int64) {
+	at := h.last()
+	var all []Item
+	for k := range 4 {
+		if rng.IntN(3) == 0 {
+			h.write(rng)
+		}
+		if i, ok := h.at(h.last())[strconv.Itoa(k)]; ok {
+			all = append(all, i)
+		}
+	}
+	return all, at
+}
+
+// ask has a copy take another one's word, and ask for what it lacks: always if the
+// other one's balancer reads the store.
+func ask(from, to *Replica, reading bool) answer {
+	if !from.Loaded() {
+		return nil
+	}
+	switch to.Confirm(from.Position(), from.LastChange(), from.History(), 0) {
+	case Current:
+		return nil
+	case Unproven:
+		if !reading {
+			return nil
+		}
+	}
+	at := from.Position()
+	items, ok := from.Since(to.Position())
+	if !ok || !to.Loaded() {
+		items = from.All()
+		return func(r *Replica) { r.Replace(items, at, 0) }
+	}
+	return func(r *Replica) { r.Merge(items, at, 0) }
+}
+
+// A store forgets its history, registrations lapse and come back, and some balancers
+// list while others follow changes. Whatever a copy says it is complete up to, it must
+// hold what the store held then. One that lacks a registration resets the flows of a
+// target that lives.
+func TestCopiesHoldWhatTheyClaim(t *testing.T) {
+	for seed := range uint64(5000) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		h := &history{}
+		copies := make([]*Replica, 4)
+		for i := range copies {
+			copies[i] = New(significant)
+		}
+		waiting := make([][]answer, len(copies))
+		for range 80 {
+			a, b := rng.IntN(len(copies)), rng.IntN(len(copies))
+			switch rng.IntN(14) {
+			case 0, 1, 2:
+				h.write(rng)
+			case 3, 4, 5:
+				waiting[a] = append(waiting[a], h.read(copies[a], rng))
+			case 6, 7, 8:
+				if x := ask(copies[a], copies[b], rng.IntN(2) == 0); x != nil {
+					waiting[b] = append(waiting[b], x)
+				}
+			case 9, 10, 11:
+				if n := len(waiting[a]); n > 0 {
+					i := rng.IntN(n)
+					waiting[a][i](copies[a])
+					waiting[a] = slices.Delete(waiting[a], i, i+1)
+				}
+			case 12:
+				h.kept = h.last()
+			case 13:
+				copies[a], waiting[a] = New(significant), nil // its balancer starts again
+			}
+			for i, r := range copies {
+				if missing := lacks(r, h); missing != "" {
+					t.Fatalf("seed %d: copy %d at position %d: %s", seed, i, r.Position(), missing)
+				}
+			}
+		}
+	}
+}
+
+// lacks compares a copy with the store at the copy's position.
+func lacks(r *Replica, h *history) string {
+	if !r.Loaded() {
+		return ""
+	}
+	want := h.at(r.Position())
+	for _, i := range r.All() {
+		x, ok := want[i.Key]
+		if i.Revision > r.Position() {
+			delete(want, i.Key) // it is ahead, from a later page
+			continue
+		}
+		if !ok {
+			return "key " + i.Key + " was removed"
+		}
+		if significant("", x.Value, i.Value) {
+			return "key " + i.Key + " has an older value"
+		}
+		delete(want, i.Key)
+	}
+	for k := range want {
+		if slices.ContainsFunc(h.items[r.Position():], func(i Item) bool { return i.Key == k && i.Deleted }) {
+			continue // removed before a later page
+		}
+		return "key " + k + " is missing"
+	}
+	return ""
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -12,6 +12,9 @@
 	// removedMemory is the number of revisions for which a removal is
 	// remembered, so that an older listing does not bring the item back.
 	removedMemory = 100000
+	// maxGaps is the number of gaps that are remembered. Peers that are in an older
+	// one take all items.
+	maxGaps = 8
 )
 
 // neverLoaded is the age of a copy that was never loaded: longer than any limit.
@@ -25,12 +28,17 @@
 	items       map[string]Item
 	log         []Item
 	logFrom     int64 // the log holds all significant changes after this revision
+	gaps        []gap // but for those in these
 	lastChange  int64 // revision of the last significant change
 	position    int64
 	proven      time.Duration
 	loaded      bool
 }
 
+// gap is a part of the store's history that a listing has jumped over, between two
+// revisions.
+type gap struct{ from, to int64 }
+
 // New returns an empty replica.
 func New(significant func(key string, old, new []byte) bool) *Replica {
 	return &Replica{significant: significant, items: map[string]Item{}}
@@ -53,42 +61,77 @@
 // LastChange returns the revision of the last change that mattered.
 func (r *Replica) LastChange() int64 { return r.lastChange }
 
-// Confirm takes another balancer's word that at the time proven the store was
-// at position and nothing after lastChange mattered. It reports whether this
-// copy has all that, so that it need not be fetched.
+// Standing is how a copy compares with another balancer's.
+type Standing int
+
+// The standings.
+const (
+	Current  Standing = iota // it has all that the other one has
+	Behind                   // it lacks changes that the other one has
+	Unproven                 // it may lack some, as the other one does not know them all
+)
+
+// Confirm takes another balancer's word that at the time proven the store was at
+// position, nothing after lastChange mattered, and it knows all changes after the
+// revision history. A copy that has all that is as new as the other one's.
 //
 // Failure: a balancer was suspended for seconds, which its clock does not show,
 // and says that its old copy is fresh. It shows as a copy that is taken for
 // current while changes are missing. Its position gives it away, as the store's
 // goes on all the time: nobody who is behind can prove anything.
-func (r *Replica) Confirm(position, lastChange int64, proven time.Duration) bool {
-	if !r.loaded || r.position < lastChange {
-		return false
+//
+// Failure: a balancer has just listed the store, and a key was removed shortly
+// before. It shows as a target that stays in use on peers which had followed the
+// changes until then, as a listing does not tell of removals. So it proves nothing to
+// copies that are older than its listing.
+func (r *Replica) Confirm(position, lastChange, history int64, proven time.Duration) Standing {
+	switch {
+	case !r.loaded || r.position < lastChange:
+		return Behind
+	case position < r.position:
+		return Current
+	case r.position < history && r.position < position:
+		return Unproven
 	}
-	if position >= r.position {
-		r.advance(position)
-		r.proven = max(r.proven, proven)
+	r.advance(position)
+	r.proven = max(r.proven, proven)
+	return Current
+}
+
+// History returns the revision after which all changes that mattered are known here.
+func (r *Replica) History() int64 {
+	if len(r.gaps) == 0 {
+		return r.logFrom
 	}
-	return true
+	return max(r.logFrom, r.gaps[len(r.gaps)-1].to)
 }
 
-// Apply takes changes that complete the copy up to position at the time
-// proven. It returns those that matter.
+// Apply takes all changes of the store since the copy's position, which complete it up
+// to another one at the time proven. It returns those that matter.
 func (r *Replica) Apply(items []Item, position int64, proven time.Duration) []Item {
-	var out []Item
-	for _, i := range items {
-		if r.put(i) {
-			out = append(out, i)
-		}
-	}
-	r.advance(position)
-	r.proven = max(r.proven, proven)
-	return out
+	return r.take(items, position, proven, r.matters)
 }
 
+// Merge takes the changes that matter to another balancer since this copy's position.
+// All of them may matter to a third one, whatever they change here.
+func (r *Replica) Merge(items []Item, position int64, proven time.Duration) []Item {
+	return r.take(items, position, proven, always)
+}
+
+func always(Item, Item) bool { return true }
+
 // Replace takes a full listing that was complete at position: what it lacks is
 // removed. Items that changed after position stay.
+//
+// Failure: a key was removed and written again in the history that the listing jumps
+// over. It changes nothing here, but a peer that followed the history lacks the key, is
+// told of no change, and resets the flows of a target that lives. So all items that are
+// newer than the copy count as changes, and peers in the gap take a full copy, as they
+// may hold keys of which the listing tells nothing.
 func (r *Replica) Replace(items []Item, position int64, proven time.Duration) []Item {
+	if r.outdated(position) {
+		return nil
+	}
 	listed := make(map[string]bool, len(items))
 	for _, i := range items {
 		listed[i.Key] = true
@@ -100,34 +143,88 @@
 		}
 	}
 	sort.Slice(gone, func(a, b int) bool { return gone[a].Key < gone[b].Key })
-	if !r.loaded {
+	before := r.position
+	switch {
+	case !r.loaded:
 		r.logFrom = position
+	case position > before:
+		r.jump(gap{before, position})
 	}
 	r.loaded = true
-	return r.Apply(append(gone, items...), position, proven)
+	return r.take(append(gone, items...), position, proven, func(old, new Item) bool {
+		return new.Revision > before || r.matters(old, new)
+	})
 }
 
-// put stores an item unless a newer one is known, and reports whether the
-// change matters.
-func (r *Replica) put(i Item) bool {
-	old, known := r.items[i.Key]
-	if known && old.Revision >= i.Revision {
-		return false
+// outdated reports whether an answer that is complete up to a revision comes too late,
+// as another one has completed the copy further meanwhile.
+//
+// Failure: a balancer that starts asks the store and a peer that is cut off from it. The
+// store's listing comes first and lacks a registration that has lapsed, then the peer's
+// old copy brings it back. It shows as a target that comes and goes unnoticed, and whose
+// return is not told to peers.
+func (r *Replica) outdated(position int64) bool { return r.loaded && position < r.position }
+
+// jump notes a gap.
+func (r *Replica) jump(g gap) {
+	r.gaps = append(r.gaps, g)
+	if len(r.gaps) > maxGaps {
+		r.logFrom = max(r.logFrom, r.gaps[0].to)
+		r.gaps = r.gaps[1:]
 	}
-	r.items[i.Key] = i
-	switch {
-	case i.Deleted && (!known || old.Deleted):
-		return false
-	case known && !old.Deleted && !i.Deleted && !r.significant(i.Key, old.Value, i.Value):
-		return false
+}
+
+// take stores the items that are newer than those known. news tells which of them
+// matter.
+func (r *Replica) take(items []Item, position int64, proven time.Duration, news func(old, new Item) bool) []Item {
+	if r.outdated(position) {
+		return nil
+	}
+	var out []Item
+	for _, i := range items {
+		old, known := r.items[i.Key]
+		if known && old.Revision >= i.Revision {
+			continue
+		}
+		if !known {
+			old = Item{Deleted: true}
+		}
+		r.items[i.Key] = i
+		changed := news(old, i)
+		if changed {
+			out = append(out, i)
+		}
+		if changed || i.Deleted {
+			// A key that was removed while a listing was read is not in it: peers
+			// that had it before need to hear of its end.
+			r.note(i)
+		}
 	}
+	r.advance(position)
+	r.proven = max(r.proven, proven)
+	return out
+}
+
+// matters reports whether a change that follows directly on another one matters.
+func (r *Replica) matters(old, new Item) bool {
+	if old.Deleted || new.Deleted {
+		return old.Deleted != new.Deleted
+	}
+	return r.significant(new.Key, old.Value, new.Value)
+}
+
+// note puts a change into the log.
+func (r *Replica) note(i Item) {
 	r.lastChange = max(r.lastChange, i.Revision)
 	r.log = append(r.log, i)
-	if len(r.log) > 2*logLength {
-		r.logFrom = r.log[logLength-1].Revision
-		r.log = append(r.log[:0], r.log[logLength:]...)
+	if len(r.log) <= 2*logLength {
+		return
 	}
-	return true
+	// Items of a listing come in the order of their keys.
+	for _, old := range r.log[:logLength] {
+		r.logFrom = max(r.logFrom, old.Revision)
+	}
+	r.log = append(r.log[:0], r.log[logLength:]...)
 }
 
 func (r *Replica) advance(position int64) {
@@ -148,6 +245,11 @@
 	if after < r.logFrom {
 		return nil, false
 	}
+	for _, g := range r.gaps {
+		if after > g.from && after < g.to {
+			return nil, false
+		}
+	}
 	var out []Item
 	for _, i := range r.log {
 		if i.Revision > after {
