Targets that start again under their identifier; entries of other writers

Cause: a target may start again under the identifier it had, knowing nothing of before, and other programs may write its key. Until now what was learnt of the older start stayed, a changed service left a target in the list of its old one, an unusable entry left "what is known" in service, an unknown state counted as ready.

Change: `born` tells starts apart (the store's revision orders them). A new start is a new target; flows that were seen here when a complete list still lacked it are lost for certain and reset, but for requests under way that must not run twice; younger ones stay. What checks and peers say of an older start is ignored. A flow first seen after its target was found dead is reset only by a later check: the target may have started again, and another balancer may know. Unusable entries name no target for new flows, open ones stay; a balancer that never knew the target leaves its flows alone.

Decided for open flows at a target whose entry became unusable: they stay, as the target most likely lives and a reset would lose what is under way.

--- a/internal/direct/flow.go
+++ b/internal/direct/flow.go
@@ -14,6 +14,7 @@
 	busy   bool        // a request is under way at the target
 	// pending tells that the target has not acknowledged the caller's last data.
 	pending bool
+	first   time.Duration // when its first packet was seen here
 	seen    time.Duration
 	asked   time.Duration // when the request under way was first seen
 	maxEnd  uint32        // end of the caller's data so far
--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -36,11 +36,13 @@
 	progress  time.Duration // last sign of life of any target
 	counts    [reasons]uint64
 	nextSweep time.Duration
-	measured  time.Duration             // when the work of flows was
-	suspects  map[*target]bool          // those that Suspects has to look at
-	proven    time.Duration             // when the targets were last known to be all
-	strange   map[Cookie]time.Duration  // unknown cookies, by when first seen
-	routeless map[FlowKey]time.Duration // open flows without a route, by when first seen
+	measured  time.Duration            // when the work of flows was
+	suspects  map[*target]bool         // those that Suspects has to look at
+	proven    time.Duration            // when the targets were last known to be all
+	strange   map[Cookie]time.Duration // unknown cookies, by when first seen
+	// unreadable are registrations that exist and were never usable here.
+	unreadable map[TargetID]bool
+	routeless  map[FlowKey]time.Duration // open flows without a route, by when first seen
 
 	openings waits         // unanswered openings
 	requests waits         // requests without a sign of their answer
@@ -69,6 +71,7 @@
 		services:   map[string]*service{},
 		flows:      map[FlowKey]*flow{},
 		strange:    map[Cookie]time.Duration{},
+		unreadable: map[TargetID]bool{},
 		routeless:  map[FlowKey]time.Duration{},
 		suspects:   map[*target]bool{},
 		usual:      firstUsual,
@@ -189,9 +192,16 @@
 	if fl != nil {
 		f.observe(now, fl, s)
 	}
-	if d, ended := f.ended(now, t, s); ended {
+	first := now
+	if fl != nil {
+		first = fl.first
+	}
+	if why, ended := f.ended(now, t, s.Flow(), first); ended {
 		f.forget(s.Flow())
-		return d
+		return resetOf(s, why)
+	}
+	if t.dead {
+		f.recheck(t)
 	}
 	return f.forward(t, why)
 }
@@ -216,18 +226,6 @@
 // Cookie returns the target's cookie.
 func (t *Target) Cookie() Cookie { return t.ID.Cookie() }
 
-// ended says how a flow ends whose target is certainly gone: its caller gets a
-// reset at once and can try elsewhere, instead of repeating until its deadline.
-func (f *Forwarder) ended(now time.Duration, t *target, s *Segment) (Decision, bool) {
-	switch {
-	case t.left && now-t.progress > quiet:
-		return resetOf(s, ResetGone), true
-	case t.dead && f.hopeless(t, s.Flow()):
-		return resetOf(s, ResetSilent), true
-	}
-	return Decision{}, false
-}
-
 // resetOf answers with a reset, but never a reset by another one.
 func resetOf(s *Segment, why Reason) Decision {
 	if s.Flags.Has(RST) {
--- a/internal/direct/inspect.go
+++ b/internal/direct/inspect.go
@@ -9,6 +9,7 @@
 // TargetInfo is what one balancer believes of a target, for operators.
 type TargetInfo struct {
 	ID         string        `json:"id"`
+	Born       string        `json:"born"` // start of this target, as it tells it
 	Service    string        `json:"service"`
 	Address    string        `json:"address"`
 	DataCenter string        `json:"data_center"`
@@ -41,7 +42,7 @@
 
 func (f *Forwarder) info(now time.Duration, t *target) TargetInfo {
 	return TargetInfo{
-		ID: t.ID.String(), Service: t.Service, Address: t.Addr.String(), DataCenter: t.DataCenter,
+		ID: t.ID.String(), Born: t.Born.String(), Service: t.Service, Address: t.Addr.String(), DataCenter: t.DataCenter,
 		State: t.state(now), Flows: t.flows, Busy: t.busy, PeerFlows: t.peers.Flows,
 		Load: t.load(now, f.service(t.Service).work), Silence: now - t.progress, Repeats: t.stalls,
 		Finding: t.finding.String(), Eligible: t.eligible(now),
@@ -60,6 +61,8 @@
 		return "dead"
 	case t.shadowed:
 		return "cookie_taken"
+	case t.unusable:
+		return "unusable"
 	case t.Draining:
 		return "draining"
 	case now < t.avoidUntil:
@@ -105,8 +108,8 @@
 		x.Target = fl.target.ID.String()
 		x.State = fl.target.state(now)
 		x.Outcome = Forwarded.String()
-		if d, ended := f.ended(now, fl.target, &Segment{Caller: k.Caller, Address: k.Address}); ended {
-			x.Outcome = d.Reason.String()
+		if why, ended := f.ended(now, fl.target, k, fl.first); ended {
+			x.Outcome = why.String()
 		}
 		return x
 	}
--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -27,6 +27,16 @@
 	}
 }
 
+// Named reports whether the catalogue has a service. Targets of others get no flows,
+// as no route leads there, until a version of the catalogue names it.
+func (f *Forwarder) Named(service string) bool {
+	if f.catalogue == nil {
+		return false
+	}
+	_, ok := f.catalogue.Services[service]
+	return ok
+}
+
 // HealthPath returns where the targets of a service are checked.
 func (f *Forwarder) HealthPath(service string) string {
 	if f.catalogue == nil {
@@ -35,23 +45,66 @@
 	return f.catalogue.Services[service].HealthPath
 }
 
-// PutTarget takes a target's registration.
-func (f *Forwarder) PutTarget(now time.Duration, t Target) {
+// PutTarget takes a target's registration. It returns the flows to reset at once:
+// they belonged to an earlier start of the target. A registration that is older than
+// the known one changes nothing, wherever it comes from.
+func (f *Forwarder) PutTarget(now time.Duration, t Target) []Segment {
 	x := f.targets[t.ID]
-	if x == nil {
-		x = &target{progress: now, checked: -checkPause, drainSince: now}
-		f.targets[t.ID] = x
-		x.Target = t
+	var lost []Segment
+	switch {
+	case x == nil:
+		x = f.enter(now, t)
 		f.claim(x)
-		l := f.list(f.service(t.Service), x)
-		*l = append(*l, x)
+	case t.Revision < x.Revision:
+		return nil
+	case t.Born != x.Born:
+		x, lost = f.restart(now, x, t)
+	case t.Service != x.Service || t.DataCenter != x.DataCenter:
+		f.unlist(x)
+		x.Target = t
+		f.enlist(x)
 	}
 	if t.Draining && !x.Draining {
 		x.drainSince = now
 	}
 	x.Target = t
-	x.departed, x.left, x.verify = false, false, false
+	x.departed, x.left, x.verify, x.unusable = false, false, false, false
 	x.coldUntil = now + t.ColdLeft
+	delete(f.unreadable, t.ID)
+	return lost
+}
+
+// enter notes a target, or a start of it, of which nothing is known yet.
+func (f *Forwarder) enter(now time.Duration, t Target) *target {
+	x := &target{Target: t, progress: now, checked: -checkPause, drainSince: now}
+	f.targets[t.ID] = x
+	f.enlist(x)
+	return x
+}
+
+func (f *Forwarder) enlist(x *target) {
+	l := f.list(f.service(x.Service), x)
+	*l = append(*l, x)
+}
+
+func (f *Forwarder) unlist(x *target) {
+	l := f.list(f.service(x.Service), x)
+	*l = slices.DeleteFunc(*l, func(o *target) bool { return o == x })
+}
+
+// DisableTarget notes that a target's registration has become unusable: it names no
+// target for new flows any more.
+//
+// The flows that are open there stay. The target most likely lives and another
+// program wrote its key: a reset would lose every request that is under way, and
+// packets that go on by their cookie lose none. If the target is gone as well, it is
+// found dead like any other.
+func (f *Forwarder) DisableTarget(id TargetID) {
+	if x := f.targets[id]; x != nil {
+		x.unusable = true
+		return
+	}
+	f.unreadable[id] = true
 }
 
 // claim gives the target its cookie.
@@ -74,6 +127,7 @@
 // store may only be cut off from it: it is checked, and its flows are reset if
 // that fails.
 func (f *Forwarder) RemoveTarget(now time.Duration, id TargetID) {
+	delete(f.unreadable, id)
 	x := f.targets[id]
 	if x == nil || x.departed {
 		return
@@ -117,13 +171,7 @@
 
 func (f *Forwarder) drop(id TargetID, x *target) {
 	delete(f.targets, id)
-	delete(f.suspects, x)
-	delete(f.ends.doubtful, x)
-	if x.checking {
-		f.checking-- // its outcome will find no target
-	}
-	l := f.list(f.service(x.Service), x)
-	*l = slices.DeleteFunc(*l, func(o *target) bool { return o == x })
+	f.disregard(x)
 	c := x.Cookie()
 	if f.cookies[c] != x {
 		return
@@ -138,6 +186,16 @@
 	}
 }
 
+// disregard ends all that is under way for a target.
+func (f *Forwarder) disregard(x *target) {
+	f.unlist(x)
+	delete(f.suspects, x)
+	delete(f.ends.doubtful, x)
+	if x.checking {
+		f.checking-- // its outcome will find no such start
+	}
+}
+
 // measure updates the work of an open flow of each service.
 func (f *Forwarder) measure(now time.Duration) {
 	dt := now - f.measured
--- a/internal/direct/observe.go
+++ b/internal/direct/observe.go
@@ -16,7 +16,7 @@
 	if len(f.flows) >= f.maxFlows {
 		return
 	}
-	fl := &flow{key: s.Flow(), target: t, tried: tried, seen: now, asked: now, maxEnd: s.Seq + 1}
+	fl := &flow{key: s.Flow(), target: t, tried: tried, first: now, seen: now, asked: now, maxEnd: s.Seq + 1}
 	// An opening is the start of a request: until its first packet arrives, the
 	// target must look as busy as it will be.
 	fl.busy = true
@@ -31,7 +31,7 @@
 	if len(f.flows) >= f.maxFlows {
 		return nil
 	}
-	fl := &flow{key: s.Flow(), target: t, open: true, seen: now, maxEnd: s.Seq, maxAck: s.Ack}
+	fl := &flow{key: s.Flow(), target: t, open: true, first: now, seen: now, maxEnd: s.Seq, maxAck: s.Ack}
 	t.flows++
 	f.flows[fl.key] = fl
 	return fl
--- a/internal/direct/reason.go
+++ b/internal/direct/reason.go
@@ -16,6 +16,7 @@
 	ResetGone                    // the flow's target has left
 	ResetSilent                  // the flow's target was found dead
 	ResetUnknown                 // the cookie names no target
+	ResetRestarted               // the flow's target has started again
 	DroppedMalformed
 	DroppedReset // a caller's reset of a flow whose target is unknown
 	DroppedWait  // the flow's target is unknown here and may still be learnt
@@ -24,7 +25,7 @@
 
 var reasonNames = [reasons]string{
 	"opened_near", "opened_far", "opened_elsewhere", "forwarded", "forwarded_known",
-	"reset_no_route", "reset_no_target", "reset_gone", "reset_silent", "reset_unknown",
+	"reset_no_route", "reset_no_target", "reset_gone", "reset_silent", "reset_unknown", "reset_restarted",
 	"dropped_malformed", "dropped_reset", "dropped_wait",
 }
 
--- /dev/null
+++ b/internal/direct/restart_test.go
@@ -0,0 +1,227 @@
+package direct
+
+import (
+	"testing"
+	"time"
+)
+
+// started returns a start of a target as registered at a revision.
+func started(id TargetID, millis, revision int64) Target {
+	x := target1(id, "a")
+	x.Born = Born{Told: true, Millis: millis}
+	x.Revision = revision
+	return x
+}
+
+// older returns a fixture with a target and three flows there that were open when
+// the list of targets was last complete: an idle one, one that waits for an answer
+// it may ask for again, and one that must not run twice.
+func older(t *testing.T) *fixture {
+	b := newFixture(t, started(1, 1000, 10))
+	b.open(1, streams)
+	b.open(2, streams)
+	b.open(3, notes)
+	b.now += startMargin + 10*time.Millisecond
+	b.f.SetProven(b.now)
+	b.ask(2, streams, 1, 101, 1000)
+	b.ask(3, notes, 1, 101, 1000)
+	return b
+}
+
+// A target crashes and starts again under its identifier. Callers with idle flows
+// would send the next request there, where it is lost; they get a reset first. So do
+// those whose request may be repeated. A note that may have run is left to the target.
+func TestFlowsOfAnOlderStartAreReset(t *testing.T) {
+	b := older(t)
+	b.now += 200 * time.Millisecond
+	lost := b.f.PutTarget(b.now, started(1, 5000, 20))
+	if len(lost) != 2 || lost[0].Caller.Port() != 1 || lost[1].Caller.Port() != 2 {
+		t.Errorf("reset %v, want the flows of ports 1 and 2", lost)
+	}
+	if x := b.state(1); x.flows != 0 || x.busy != 0 {
+		t.Errorf("the new start has %d flows and %d requests of the older one", x.flows, x.busy)
+	}
+	b.want(b.ask(3, notes, 1, 101, 1000), Forwarded)
+	if got := b.f.Count(ResetRestarted); got != 2 {
+		t.Errorf("counter %d, want 2", got)
+	}
+}
+
+// A target starts again, a caller opens a flow there through this balancer, and only
+// then the registration of the new start arrives. The flow belongs to the new start: a
+// reset would end a request of a target that lives.
+func TestFlowsOfTheNewStartStay(t *testing.T) {
+	b := older(t)
+	b.now += 100 * time.Millisecond // it has started again, unknown here
+	b.open(4, streams)
+	b.ask(4, streams, 1, 101, 1000)
+	b.now += 300 * time.Millisecond
+	for _, s := range b.f.PutTarget(b.now, started(1, 5000, 20)) {
+		if s.Caller.Port() == 4 {
+			t.Error("a flow of the new start was reset")
+		}
+	}
+	b.want(b.ask(4, streams, 1, 401, 2000), Forwarded)
+	if x := b.state(1); x.flows != 1 || x.busy != 1 {
+		t.Errorf("the new start has %d flows and %d requests, want 1 and 1", x.flows, x.busy)
+	}
+}
+
+// The older start was found dead, suspected, failing, leaving and loaded. The new one
+// knows nothing of that, and gets callers at once.
+func TestNothingOfTheOlderStartStays(t *testing.T) {
+	b := older(t)
+	x := b.state(1)
+	x.dead, x.failing, x.extra, x.finding, x.failed = true, true, 9, Gone, 2
+	x.avoidUntil = b.now + time.Minute
+	x.record.add(b.now, AnswerNone)
+	x.peers, x.peerOutcome = Load{5, 5}, Outcome{0, 5}
+	b.f.ends.doubtful[x] = true
+	b.f.suspect(x)
+	b.f.PutTarget(b.now, started(1, 500, 20)) // its clock was set back meanwhile
+	if got := b.state(1).state(b.now); got != "ready" {
+		t.Errorf("the new start is %s", got)
+	}
+	if got := b.f.info(b.now, b.state(1)); got.Load != 0 || got.Bad != 0 || got.PeerBad != 0 || got.PeerFlows != 0 {
+		t.Errorf("the new start looks like %+v", got)
+	}
+	if d := b.handle(packet(9, streams, SYN, 0)); d.Verb != Forward {
+		t.Errorf("opening: %v", d.Reason)
+	}
+	if n := len(b.f.Suspects(b.now)); n != 0 {
+		t.Errorf("%d targets to check, want none", n)
+	}
+}
+
+// A draining target goes and starts again under its identifier: the new start does
+// not leave.
+func TestRestartAfterDraining(t *testing.T) {
+	leaving := started(1, 1000, 10)
+	leaving.Draining = true
+	b := newFixture(t, leaving)
+	b.f.RemoveTarget(b.now, 1)
+	b.now += time.Second
+	b.f.PutTarget(b.now, started(1, 5000, 20))
+	if got := b.state(1).state(b.now); got != "ready" {
+		t.Errorf("the new start is %s", got)
+	}
+}
+
+// An old registration comes late, from a peer that lags: it must not put the older
+// start in the place of the newer, whatever their clocks say.
+func TestLateRegistrationIsIgnored(t *testing.T) {
+	b := newFixture(t, started(1, 1000, 10))
+	b.f.PutTarget(b.now, started(1, 500, 20))
+	if lost := b.f.PutTarget(b.now, started(1, 1000, 10)); len(lost) != 0 || b.state(1).Born.Millis != 500 {
+		t.Errorf("start %v is in force, want that of the later revision", b.state(1).Born)
+	}
+}
+
+// A check of the older start ends after the new one was heard of, and a peer that has
+// not heard of it tells what it knows. Neither says anything of the new start.
+func TestNewsOfAnOlderStartIsIgnored(t *testing.T) {
+	b := older(t)
+	b.f.suspect(b.state(1))
+	b.state(1).verify = true
+	checked := b.f.Suspects(b.now)
+	if len(checked) != 1 {
+		t.Fatalf("%d checks, want 1", len(checked))
+	}
+	b.f.PutTarget(b.now, started(1, 5000, 20))
+	if v := b.f.Checked(b.now, checked[0].Start(), Gone); v.News || b.state(1).dead {
+		t.Error("a check of the older start was taken for one of the new")
+	}
+	if b.f.checking != 0 {
+		t.Errorf("%d checks under way, want none", b.f.checking)
+	}
+	if b.f.SameStart(1, 19) || !b.f.SameStart(1, 20) {
+		t.Error("a peer whose copy ends before the restart speaks of the older start")
+	}
+}
+
+// A health answer names another start than the registration. The registration will
+// follow; until then new flows stay away, as the service may be another one, and open
+// ones stay, as some may belong to the new start.
+func TestCheckFindsAnotherStart(t *testing.T) {
+	b := older(t)
+	if v := b.f.Checked(b.now, started(1, 1000, 10).Start(), Restarted); len(v.Resets) != 0 || !v.News {
+		t.Errorf("verdict %+v", v)
+	}
+	b.want(b.handle(packet(9, streams, SYN, 0)), ResetNoTarget)
+	b.want(b.ask(1, streams, 1, 101, 1000), Forwarded)
+	b.f.PutTarget(b.now, started(1, 5000, 20))
+	if d := b.handle(packet(10, streams, SYN, 0)); d.Verb != Forward {
+		t.Errorf("opening: %v", d.Reason)
+	}
+}
+
+// A target starts again as another service, elsewhere. Callers of the old service
+// must not be sent there, and those of the new one must.
+func TestRestartAsAnotherService(t *testing.T) {
+	for name, born := range map[string]Born{"another start": {Told: true, Millis: 5000}, "the same start": {Told: true, Millis: 1000}} {
+		b := newFixture(t, started(1, 1000, 10))
+		c := testCatalogue()
+		c.Services["x"] = Service{Name: "x"}
+		c.Routes[extraRoute] = Route{Address: extraRoute, Backends: []Backend{{"x", 1}}, Kind: Idempotent}
+		b.f.SetCatalogue(c)
+		moved := started(1, 0, 20)
+		moved.Born, moved.Service, moved.DataCenter = born, "x", "b"
+		b.f.PutTarget(b.now, moved)
+		b.want(b.handle(packet(1, streams, SYN, 0)), ResetNoTarget)
+		b.want(b.handle(packet(2, extraRoute, SYN, 0)), OpenedFar)
+		if n := len(b.f.service("s").near); n != 0 {
+			t.Errorf("%s: %d targets are left in the old service", name, n)
+		}
+	}
+}
+
+// A registration without a start is ordinary. One that begins or ceases to tell it is
+// another start, but its flows are not certain to be lost: none is reset.
+func TestStartThatIsNotTold(t *testing.T) {
+	b := older(t)
+	plain := target1(1, "a")
+	plain.Revision = 20
+	if lost := b.f.PutTarget(b.now, plain); len(lost) != 0 {
+		t.Errorf("%d flows were reset", len(lost))
+	}
+	if x := b.state(1); x.flows != 3 {
+		t.Errorf("%d flows, want the 3 open ones", x.flows)
+	}
+	b.want(b.ask(1, streams, 1, 101, 1000), Forwarded)
+}
+
+// Another program overwrites a target's registration with something unusable. New
+// flows stay away, open ones go on, and once it is mended the target is as before.
+func TestUnusableRegistration(t *testing.T) {
+	b := newFixture(t, started(1, 1000, 10))
+	b.open(1, streams)
+	b.f.DisableTarget(1)
+	b.want(b.handle(packet(2, streams, SYN, 0)), ResetNoTarget)
+	b.want(b.ask(1, streams, 1, 101, 1000), Forwarded)
+	if got := b.state(1).state(b.now); got != "unusable" {
+		t.Errorf("state %s", got)
+	}
+	b.f.RemoveTarget(b.now, 1)
+	b.want(b.handle(packet(3, streams, SYN, 0)), ResetNoTarget) // not even as one that has just lapsed
+	b.f.PutTarget(b.now, started(1, 1000, 30))
+	if d := b.handle(packet(4, streams, SYN, 0)); d.Verb != Forward {
+		t.Errorf("opening after it was mended: %v", d.Reason)
+	}
+}
+
+// A balancer starts while a living target's registration is unusable. Packets of the
+// target's flows come here with its cookie: they must not be reset, as the target
+// holds the flows, and once the entry is gone they must.
+func TestFlowsOfAnUnreadableTarget(t *testing.T) {
+	b := newFixture(t)
+	b.f.DisableTarget(77)
+	b.want(b.handle(packet(1, streams, ACK, 77)), DroppedWait)
+	b.now += 5 * time.Second
+	b.f.SetProven(b.now)
+	b.want(b.handle(packet(1, streams, ACK, 77)), DroppedWait)
+	b.f.RemoveTarget(b.now, 77)
+	b.want(b.handle(packet(1, streams, ACK, 77)), DroppedWait)
+	b.now += time.Second
+	b.f.SetProven(b.now)
+	b.want(b.handle(packet(1, streams, ACK, 77)), ResetUnknown)
+}
--- a/internal/direct/segment.go
+++ b/internal/direct/segment.go
@@ -1,6 +1,9 @@
 package direct
 
-import "net/netip"
+import (
+	"cmp"
+	"net/netip"
+)
 
 // Flags are the control bits of a Segment.
 type Flags uint8
@@ -36,6 +39,11 @@
 	Address netip.AddrPort
 }
 
+// compare orders flows by their callers.
+func (k FlowKey) compare(o FlowKey) int {
+	return cmp.Or(k.Caller.Compare(o.Caller), k.Address.Compare(o.Address))
+}
+
 // hash spreads flows evenly; see splitmix64.
 func (k FlowKey) hash() uint64 {
 	a, b := k.Caller.Addr().As4(), k.Address.Addr().As4()
--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -91,7 +91,10 @@
 
 func (t *target) suspicious(now time.Duration) bool {
 	pause := checkPause
-	if t.failed == 1 || t.finding == Gone && !t.dead {
+	switch {
+	case t.dead && t.verify:
+		pause = recheckPause
+	case t.failed == 1 || t.finding == Gone && !t.dead:
 		pause = confirmPause
 	}
 	switch {
@@ -112,10 +115,12 @@
 	Alive  Finding = iota
 	Gone           // nothing listens at its address, or another target does
 	Silent         // no answer in time, which may be the path's fault or the check's
+	// Restarted means that another start of the target answers there.
+	Restarted
 )
 
 // String returns the name in logs.
-func (x Finding) String() string { return [...]string{"alive", "gone", "silent"}[x] }
+func (x Finding) String() string { return [...]string{"alive", "gone", "silent", "restarted"}[x] }
 
 // Verdict is what a check has changed.
 type Verdict struct {
@@ -125,10 +130,11 @@
 	Resets []Segment
 }
 
-// Checked takes the outcome of this balancer's own check.
-func (f *Forwarder) Checked(now time.Duration, id TargetID, x Finding) Verdict {
-	t := f.targets[id]
-	if t == nil {
+// Checked takes the outcome of this balancer's own check of one start of a target.
+// An outcome that comes when another start is known says nothing of that one.
+func (f *Forwarder) Checked(now time.Duration, of Start, x Finding) Verdict {
+	t := f.targets[of.ID]
+	if t == nil || t.Start() != of {
 		return Verdict{}
 	}
 	if t.checking {
@@ -148,6 +154,8 @@
 	t.failed++
 	t.avoidUntil = now + avoidTime
 	switch {
+	case x == Restarted:
+		// Its registration will follow, and says which of its flows are lost.
 	case x == Gone && t.ended():
 		v.Resets = f.bury(now, t)
 	case !f.othersLive(now, t) && !f.ownLinkWorks(now, t):
@@ -155,6 +163,9 @@
 	case t.failed >= confirmChecks && t.mute():
 		v.Resets = f.bury(now, t)
 	}
+	if t.dead {
+		t.lostAt = t.checked
+	}
 	return v
 }
 
@@ -201,16 +212,13 @@
 	t.endedAt = now
 	f.times.Detected(now - t.progress)
 	var out []Segment
-	for k, fl := range f.flows {
-		if fl.target == t && fl.pending && f.hopeless(t, k) {
-			out = append(out, Segment{Caller: k.Caller, Address: k.Address, Ack: fl.maxAck})
+	for _, fl := range f.flowsOf(t) {
+		if fl.pending && fl.first < t.checked && f.hopeless(t, fl.key) {
+			out = append(out, fl.segment())
+			f.forget(fl.key)
 		}
 	}
-	slices.SortFunc(out, func(a, b Segment) int { return a.Caller.Compare(b.Caller) })
-	for i := range out {
-		f.counts[ResetSilent]++
-		f.forget(out[i].Flow())
-	}
+	f.counts[ResetSilent] += uint64(len(out))
 	return out
 }
 
@@ -218,7 +226,7 @@
 // that must not run twice may have reached a target behind a cut, whose answer
 // goes straight to the caller and may still come.
 func (f *Forwarder) hopeless(t *target, k FlowKey) bool {
-	return t.finding == Gone || f.catalogue != nil && f.catalogue.Routes[k.Address].Kind != NonIdempotent
+	return t.finding == Gone || f.mayRepeat(k)
 }
 
 // PeerSuspects takes another balancer's suspicion. It reports whether that is
--- a/internal/direct/target.go
+++ b/internal/direct/target.go
@@ -6,10 +6,30 @@
 	"time"
 )
 
-// TargetID identifies one start of a target. A target that starts again, also
-// at the same address, has a new one.
+// TargetID identifies a target. One that starts again may keep it; see Start.
 type TargetID uint64
 
+// Born tells the starts of a target apart: the time of day at which the target
+// says that it started. It says nothing of their order, as clocks may step.
+type Born struct {
+	Told   bool  // the target tells it
+	Millis int64 // Unix milliseconds
+}
+
+// String returns it for logs.
+func (b Born) String() string {
+	if !b.Told {
+		return "not told"
+	}
+	return time.UnixMilli(b.Millis).UTC().Format(time.RFC3339Nano)
+}
+
+// Start is one start of a target. What is known of one does not hold for another.
+type Start struct {
+	ID   TargetID
+	Born Born
+}
+
 // Cookie returns what the packets of the target's flows carry. Identifiers are
 // wider than cookies, so that two targets may share one; see View.
 func (id TargetID) Cookie() Cookie {
@@ -22,6 +42,8 @@
 // Target is a target as it registered itself.
 type Target struct {
 	ID         TargetID
+	Born       Born
+	Revision   int64 // of the store, when the registration was written
 	Service    string
 	Addr       netip.AddrPort
 	DataCenter string
@@ -32,10 +54,14 @@
 	ColdLeft time.Duration
 }
 
+// Start returns which start of the target registered itself.
+func (t Target) Start() Start { return Start{t.ID, t.Born} }
+
 // Same reports whether two registrations differ only in what every heartbeat
 // changes.
 func (t Target) Same(o Target) bool {
 	t.ColdLeft, o.ColdLeft = 0, 0
+	t.Revision, o.Revision = 0, 0
 	return t == o
 }
 
--- a/internal/direct/targetstate.go
+++ b/internal/direct/targetstate.go
@@ -11,6 +11,8 @@
 	left       bool          // after it had said that it would leave
 	endedAt    time.Duration // when it was found dead or its registration went
 	shadowed   bool          // an older target has the same cookie
+	since      int64         // revision at which its start was learnt, if an earlier one was known
+	unusable   bool          // its registration has become unusable; see DisableTarget
 
 	flows int // open flows that pass this balancer
 	busy  int // requests under way that pass this balancer
@@ -34,6 +36,7 @@
 	failed   int           // checks in a row without an answer
 	finding  Finding       // of the last check
 	dead     bool          // confirmed by checks
+	lostAt   time.Duration // start of the last check that confirmed it
 }
 
 // Load is what flows hold at one target.
@@ -45,15 +48,22 @@
 // Plus returns the sum of two loads.
 func (l Load) Plus(x Load) Load { return Load{l.Flows + x.Flows, l.Busy + x.Busy} }
 
+// placeable reports whether new flows could be told apart and sent to the target.
+func (t *target) placeable() bool { return !t.shadowed && !t.unusable }
+
+// replaced reports whether the last check found that the target as it registered
+// itself is not at its address.
+func (t *target) replaced() bool { return t.finding == Gone || t.finding == Restarted }
+
 // eligible reports whether new flows may go to the target.
 func (t *target) eligible(now time.Duration) bool {
-	return !t.departed && !t.Draining && !t.dead && !t.shadowed && now >= t.avoidUntil
+	return !t.departed && !t.Draining && !t.dead && t.placeable() && now >= t.avoidUntil
 }
 
 // registered reports whether new flows may go to the target if none is eligible.
 // One whose address refuses connections is not there, whatever the list says.
 func (t *target) registered(time.Duration) bool {
-	return !t.departed && !t.Draining && !t.shadowed && t.finding != Gone
+	return !t.departed && !t.Draining && t.placeable() && !t.replaced()
 }
 
 // lateDrain is how long after its announcement was heard a draining target may
@@ -63,7 +73,7 @@
 // leaving reports whether new flows may go to the target if all others are
 // leaving too.
 func (t *target) leaving(now time.Duration) bool {
-	return !t.departed && t.Draining && !t.shadowed && t.finding != Gone && now-t.drainSince < lateDrain
+	return !t.departed && t.Draining && t.placeable() && !t.replaced() && now-t.drainSince < lateDrain
 }
 
 // lapsed reports whether new flows may go to the target if no registered one is
@@ -73,7 +83,7 @@
 // is back. It shows as callers who are told that there is no target, for a second or
 // two, until living targets have registered again: 33 openings of one outage.
 func (t *target) lapsed(now time.Duration) bool {
-	return t.departed && !t.left && !t.dead && !t.shadowed && t.finding != Gone && now-t.endedAt < lateDrain
+	return t.departed && !t.left && !t.dead && t.placeable() && !t.replaced() && now-t.endedAt < lateDrain
 }
 
 // cleared reports whether nothing speaks against the target any more.
--- a/internal/direct/unknown.go
+++ b/internal/direct/unknown.go
@@ -13,6 +13,9 @@
 	if s.Flags.Has(RST) {
 		return Decision{Verb: Drop, Reason: DroppedReset}
 	}
+	if f.undecided(s.Cookie) {
+		return Decision{Verb: Drop, Reason: DroppedWait}
+	}
 	first, ok := f.strange[s.Cookie]
 	if !ok && len(f.strange) < maxStrange {
 		f.strange[s.Cookie] = now
@@ -51,3 +54,19 @@
 	}
 	return ok && f.proven > first+lapseMargin
 }
+
+// undecided reports whether a target that may have the cookie is registered, though
+// its registration cannot be used.
+//
+// Failure: another program overwrites the key of a target that lives, and a balancer
+// that starts never learns its address. It shows as resets of the target's flows,
+// which other balancers still forward. They stay without an answer here, and callers
+// that repeat through another balancer get one.
+func (f *Forwarder) undecided(c Cookie) bool {
+	for id := range f.unreadable {
+		if id.Cookie() == c {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/edge/apply.go
@@ -0,0 +1,121 @@
+package edge
+
+import (
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rosedale.dev/rosedale/internal/direct"
+	"rosedale.dev/rosedale/internal/replica"
+	"rosedale.dev/rosedale/platform"
+)
+
+// maxTargetLines is the number of changes at once of which each has a line of
+// its own. More of them are a listing, which has one line for all: its lines
+// would be left out by their bound and hide the others of that second.
+const maxTargetLines = 50
+
+// apply puts changes of the copy in force.
+func (c *control) apply(items []replica.Item, source string) {
+	now := c.now()
+	listing := len(items) > maxTargetLines
+	if listing {
+		c.log.Info("listing", zap.Int("items", len(items)), zap.String("source", source), zap.Int64("position", c.replica.Position()))
+	}
+	c.edge.counts.changes.Add(uint64(len(items)))
+	var catalogue *replica.Item
+	for _, i := range items {
+		switch {
+		case i.Key == platform.CatalogueKey:
+			catalogue = &i
+		case strings.HasPrefix(i.Key, platform.TargetPrefix):
+			c.applyTarget(now, i, source, !listing)
+		case strings.HasPrefix(i.Key, platform.MemberPrefix):
+			c.applyMember(i)
+		}
+	}
+	if c.replica.Loaded() {
+		// Packets of open flows need no catalogue, which takes 80 ms to decode
+		// if it is large and the VM small.
+		c.edge.packets.begin()
+	}
+	if catalogue != nil {
+		c.applyCatalogue(*catalogue, source)
+	}
+	if c.version > 0 {
+		c.edge.becomeReady()
+	}
+}
+
+func (c *control) applyCatalogue(i replica.Item, source string) {
+	if i.Deleted {
+		c.log.Error("catalogue was removed; the last version stays in force", zap.Int64("revision", i.Revision))
+		return
+	}
+	cat, err := platform.ParseCatalogue(i.Value)
+	if err != nil {
+		c.edge.counts.badItems.Add(1)
+		c.log.Error("catalogue is not usable; the last version stays in force", zap.Int64("revision", i.Revision), zap.Error(err))
+		return
+	}
+	c.edge.mu.Lock()
+	c.edge.forward.SetCatalogue(cat)
+	c.edge.mu.Unlock()
+	c.log.Info("catalogue in force", zap.Int64("version", cat.Version), zap.Int64("before", c.version),
+		zap.Int64("revision", i.Revision), zap.String("source", source), zap.Int("routes", len(cat.Routes)))
+	c.version = cat.Version
+}
+
+// applyTarget takes a target's registration or its end; tell has it logged.
+func (c *control) applyTarget(now time.Duration, i replica.Item, source string, tell bool) {
+	id, err := platform.ParseTargetID(i.Key)
+	if err != nil {
+		c.edge.counts.badItems.Add(1)
+		c.log.Error("target's key is not usable", zap.String("key", i.Key), zap.Int64("revision", i.Revision), zap.Error(err))
+		return
+	}
+	if i.Deleted {
+		c.removeTarget(now, id, i, source, tell)
+		return
+	}
+	t, err := platform.ParseTarget(i.Key, i.Value)
+	if err != nil {
+		c.disableTarget(id, i, source, err)
+		return
+	}
+	t.Revision = i.Revision
+	c.edge.mu.Lock()
+	lost := c.edge.forward.PutTarget(now, t)
+	named := c.edge.forward.Named(t.Service)
+	c.edge.mu.Unlock()
+	c.resetFlows(now, lost, direct.ResetRestarted, id)
+	if c.version > 0 && !named {
+		c.log.Warn("target's service is not in the catalogue: it gets no flows until it is", zap.Stringer("target", id),
+			zap.Int64("revision", i.Revision), zap.String("service", t.Service), zap.Int64("version", c.version))
+	}
+	if tell {
+		c.log.Info("target", zap.Stringer("target", id), zap.Stringer("born", t.Born), zap.Int64("revision", i.Revision), zap.String("source", source),
+			zap.String("service", t.Service), zap.Stringer("address", t.Addr), zap.String("at", t.DataCenter),
+			zap.Bool("draining", t.Draining), zap.Duration("cold", t.ColdLeft), zap.Int("lostFlows", len(lost)))
+	}
+}
+
+// disableTarget takes a registration that cannot be used.
+func (c *control) disableTarget(id direct.TargetID, i replica.Item, source string, why error) {
+	c.edge.counts.badItems.Add(1)
+	c.edge.mu.Lock()
+	c.edge.forward.DisableTarget(id)
+	c.edge.mu.Unlock()
+	c.log.Error("target's registration is not usable: it gets no new flows, open ones stay", zap.Stringer("target", id),
+		zap.Int64("revision", i.Revision), zap.String("source", source), zap.Error(why))
+}
+
+func (c *control) removeTarget(now time.Duration, id direct.TargetID, i replica.Item, source string, tell bool) {
+	c.edge.mu.Lock()
+	c.edge.forward.RemoveTarget(now, id)
+	c.edge.mu.Unlock()
+	if tell {
+		c.log.Info("target gone", zap.Stringer("target", id), zap.Int64("revision", i.Revision), zap.String("source", source))
+	}
+}
--- a/internal/edge/checks.go
+++ b/internal/edge/checks.go
@@ -39,17 +39,14 @@
 func (c *control) checked(t direct.Target, x direct.Finding, err error) {
 	now := c.now()
 	c.edge.mu.Lock()
-	v := c.edge.forward.Checked(now, t.ID, x)
+	v := c.edge.forward.Checked(now, t.Start(), x)
 	due := c.edge.forward.Due()
 	c.edge.mu.Unlock()
 	if due {
 		c.lookSoon()
 	}
-	for i := range v.Resets {
-		c.edge.packets.reset(&v.Resets[i])
-		c.edge.logDecision(now, &v.Resets[i], direct.Decision{Verb: direct.Reset, Reason: direct.ResetSilent}, t.ID)
-	}
-	c.log.Info("target checked", zap.String("target", t.ID.String()), zap.Stringer("address", t.Addr),
+	c.resetFlows(now, v.Resets, direct.ResetSilent, t.ID)
+	c.log.Info("target checked", zap.Stringer("target", t.ID), zap.Stringer("born", t.Born), zap.Stringer("address", t.Addr),
 		zap.Stringer("finding", x), zap.Error(err))
 	if x != direct.Alive {
 		c.edge.counts.checksFailed.Add(1)
@@ -59,3 +56,11 @@
 		c.alarmIfDue(now)
 	}
 }
+
+// resetFlows ends flows that a target has lost.
+func (c *control) resetFlows(now time.Duration, flows []direct.Segment, why direct.Reason, id direct.TargetID) {
+	for i := range flows {
+		c.edge.packets.reset(&flows[i])
+		c.edge.logDecision(now, &flows[i], direct.Decision{Verb: direct.Reset, Reason: why}, id)
+	}
+}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -4,13 +4,10 @@
 	"context"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
-
 	"rosedale.dev/rosedale/internal/peer"
 	"rosedale.dev/rosedale/internal/replica"
 	"rosedale.dev/rosedale/platform"
@@ -19,10 +16,6 @@
 const (
 	// tickInterval paces heartbeats to balancers near by, checks and expiry.
 	tickInterval = 100 * time.Millisecond
-	// maxTargetLines is the number of changes at once of which each has a line of
-	// its own. More of them are a listing, which has one line for all: its lines
-	// would be left out by their bound and hide the others of that second.
-	maxTargetLines = 50
 	// lossTicks paces the line that says how many others were left out.
 	lossTicks = 10
 	// eventQueue holds what waits for the control goroutine. Heartbeats that
@@ -168,91 +161,3 @@
 	c.outcomesIfDue(now)
 	c.heartbeat(now)
 }
-
-// apply puts changes of the copy in force.
-func (c *control) apply(items []replica.Item, source string) {
-	now := c.now()
-	listing := len(items) > maxTargetLines
-	if listing {
-		c.log.Info("listing", zap.Int("items", len(items)), zap.String("source", source), zap.Int64("position", c.replica.Position()))
-	}
-	c.edge.counts.changes.Add(uint64(len(items)))
-	var catalogue *replica.Item
-	for _, i := range items {
-		switch {
-		case i.Key == platform.CatalogueKey:
-			catalogue = &i
-		case strings.HasPrefix(i.Key, platform.TargetPrefix):
-			c.applyTarget(now, i, source, !listing)
-		case strings.HasPrefix(i.Key, platform.MemberPrefix):
-			c.applyMember(i)
-		}
-	}
-	if c.replica.Loaded() {
-		// Packets of open flows need no catalogue, which takes 80 ms to decode
-		// if it is large and the VM small.
-		c.edge.packets.begin()
-	}
-	if catalogue != nil {
-		c.applyCatalogue(*catalogue, source)
-	}
-	if c.version > 0 {
-		c.edge.becomeReady()
-	}
-}
-
-func (c *control) applyCatalogue(i replica.Item, source string) {
-	if i.Deleted {
-		c.log.Error("catalogue was removed; the last version stays in force", zap.Int64("revision", i.Revision))
-		return
-	}
-	cat, err := platform.ParseCatalogue(i.Value)
-	if err != nil {
-		c.edge.counts.badItems.Add(1)
-		c.log.Error("catalogue is not usable; the last version stays in force", zap.Int64("revision", i.Revision), zap.Error(err))
-		return
-	}
-	c.edge.mu.Lock()
-	c.edge.forward.SetCatalogue(cat)
-	c.edge.mu.Unlock()
-	c.log.Info("catalogue in force", zap.Int64("version", cat.Version), zap.Int64("before", c.version),
-		zap.Int64("revision", i.Revision), zap.String("source", source), zap.Int("routes", len(cat.Routes)))
-	c.version = cat.Version
-}
-
-// applyTarget takes a target's registration or its end; tell has it logged.
-func (c *control) applyTarget(now time.Duration, i replica.Item, source string, tell bool) {
-	if i.Deleted {
-		c.removeTarget(now, i, source, tell)
-		return
-	}
-	t, err := platform.ParseTarget(i.Key, i.Value)
-	if err != nil {
-		c.edge.counts.badItems.Add(1)
-		c.log.Error("target's registration is not usable; what is known of it stays", zap.String("key", i.Key), zap.Int64("revision", i.Revision), zap.Error(err))
-		return
-	}
-	c.edge.mu.Lock()
-	c.edge.forward.PutTarget(now, t)
-	c.edge.mu.Unlock()
-	if tell {
-		c.log.Info("target", zap.Stringer("target", t.ID), zap.Int64("revision", i.Revision), zap.String("source", source),
-			zap.String("service", t.Service), zap.Stringer("address", t.Addr), zap.String("at", t.DataCenter),
-			zap.Bool("draining", t.Draining), zap.Duration("cold", t.ColdLeft))
-	}
-}
-
-func (c *control) removeTarget(now time.Duration, i replica.Item, source string, tell bool) {
-	id, err := platform.ParseTargetID(i.Key)
-	if err != nil {
-		c.edge.counts.badItems.Add(1)
-		c.log.Error("target's key is not usable", zap.String("key", i.Key), zap.Error(err))
-		return
-	}
-	c.edge.mu.Lock()
-	c.edge.forward.RemoveTarget(now, id)
-	c.edge.mu.Unlock()
-	if tell {
-		c.log.Info("target gone", zap.Stringer("target", id), zap.Int64("revision", i.Revision), zap.String("source", source))
-	}
-}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -93,9 +93,10 @@
 	c.edge.mu.Lock()
 	defer c.edge.mu.Unlock()
 	for _, id := range h.Suspected {
-		if c.edge.forward.PeerSuspects(now, direct.TargetID(id)) {
+		id := direct.TargetID(id)
+		if c.edge.forward.SameStart(id, h.Position) && c.edge.forward.PeerSuspects(now, id) {
 			c.lookSoon()
-			c.log.Info("target suspected by a peer", zap.String("target", direct.TargetID(id).String()), zap.String("peer", h.From))
+			c.log.Info("target suspected by a peer", zap.Stringer("target", id), zap.String("peer", h.From))
 		}
 	}
 }
@@ -119,7 +120,8 @@
 	return false
 }
 
-// peerLoads sums what the flows of the other balancers hold.
+// peerLoads sums what the flows of the other balancers hold. It is to be called with
+// the forwarder locked.
 func (c *control) peerLoads(now time.Duration) map[direct.TargetID]direct.Load {
 	out := map[direct.TargetID]direct.Load{}
 	for _, n := range c.peers {
@@ -128,6 +130,9 @@
 		}
 		for _, u := range n.last.Loads {
 			id := direct.TargetID(u.ID)
+			if !c.edge.forward.SameStart(id, n.last.Position) {
+				continue
+			}
 			out[id] = out[id].Plus(direct.Load{Flows: u.Flows, Busy: u.Busy})
 		}
 	}
@@ -135,7 +140,8 @@
 }
 
 // peerOutcomes sums how the requests of the other balancers of this data centre
-// ended. What a balancer told fades like its own counts.
+// ended. What a balancer told fades like its own counts. It is to be called with the
+// forwarder locked.
 func (c *control) peerOutcomes(now time.Duration) map[direct.TargetID]direct.Outcome {
 	out := map[direct.TargetID]direct.Outcome{}
 	for _, n := range c.peers {
@@ -144,6 +150,9 @@
 		}
 		for _, o := range n.last.Outcomes {
 			id := direct.TargetID(o.ID)
+			if !c.edge.forward.SameStart(id, n.last.Position) {
+				continue
+			}
 			out[id] = out[id].Plus(o.Outcome().Faded(now - n.heard))
 		}
 	}
@@ -157,10 +166,11 @@
 		return
 	}
 	delete(c.unregistered, i.Key)
-	var m peer.Member
-	if err := peer.Decode(i.Value, &m); err != nil {
+	m, err := peer.DecodeMember(i.Value)
+	if err != nil {
 		c.edge.counts.badItems.Add(1)
-		c.log.Error("member's registration is not usable", zap.String("member", i.Key), zap.Error(err))
+		c.log.Error("member's registration is not usable: it counts as removed", zap.String("member", i.Key), zap.Int64("revision", i.Revision), zap.Error(err))
+		c.removeMember(i.Key)
 		return
 	}
 	c.fleet.Put(i.Key, m)
--- a/internal/standin/direct/caller.go
+++ b/internal/standin/direct/caller.go
@@ -144,6 +144,13 @@
 	}
 }
 
+// IsReset reports whether the flow is reset within a time in which nothing is asked
+// on it. Nothing else may be under way.
+func (fl *Flow) IsReset(within time.Duration) bool {
+	_, err := fl.next(within)
+	return errors.Is(err, ErrReset)
+}
+
 // Close closes the flow.
 func (fl *Flow) Close() {
 	fl.send(head{seq: fl.seq, ack: fl.ack, ackOn: true, fin: true}, nil)
--- a/internal/standin/direct/target.go
+++ b/internal/standin/direct/target.go
@@ -22,6 +22,7 @@
 	State    string `json:"state"`
 	ColdLeft int    `json:"coldLeftMs"`
 	Sequence int    `json:"sequence"`
+	Born     int64  `json:"born,omitempty"` // Unix ms of its start; 0 if it does not tell
 }
 
 // Target is a stand-in target: it answers each request with its name.
@@ -37,6 +38,7 @@
 	pace   atomic.Int64 // time that a request takes
 
 	udp   *net.UDPConn
+	tcp   net.Listener
 	srv   *http.Server
 	store *Store
 	reply uint16 // the port at which callers are reached
@@ -52,26 +54,50 @@
 
 // NewTarget starts a target at addr and registers it.
 func NewTarget(s *Store, id uint64, addr string, service, centre string, reply uint16) (*Target, error) {
+	t := &Target{ID: id, store: s, reply: reply}
+	t.SetWork(time.Millisecond)
+	if err := t.listen(addr); err != nil {
+		return nil, err
+	}
+	t.Reg = Registration{Service: service, Address: t.udp.LocalAddr().String(), Zone: centre, Version: "v1", Slots: 2, State: "ready"}
+	t.Register()
+	return t, nil
+}
+
+// listen begins a start of the target, which holds no flow.
+func (t *Target) listen(addr string) error {
 	a, err := net.ResolveUDPAddr("udp4", addr)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	udp, err := net.ListenUDP("udp4", a)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	tcp, err := net.Listen("tcp4", udp.LocalAddr().String())
 	if err != nil {
-		return nil, err
+		return err
 	}
-	t := &Target{ID: id, udp: udp, store: s, reply: reply, flows: map[[2]netip.AddrPort]*targetFlow{}}
-	t.Reg = Registration{Service: service, Address: udp.LocalAddr().String(), Zone: centre, Version: "v1", Slots: 2, State: "ready"}
-	t.SetWork(time.Millisecond)
-	t.srv = &http.Server{Handler: http.HandlerFunc(t.health), ReadHeaderTimeout: time.Second}
-	go func() { _ = t.srv.Serve(tcp) }() // it ends with Stop
-	go t.serve()
+	srv := &http.Server{Handler: http.HandlerFunc(t.health), ReadHeaderTimeout: time.Second}
+	t.mu.Lock()
+	t.udp, t.tcp, t.srv, t.flows = udp, tcp, srv, map[[2]netip.AddrPort]*targetFlow{}
+	t.mu.Unlock()
+	go func() { _ = srv.Serve(tcp) }() // it ends with Stop
+	go t.serve(udp)
+	return nil
+}
+
+// Restart starts a target that was stopped again, under its identifier and at its
+// address. It says that it was born at a time, in Unix ms, which may be before that of
+// its last start.
+func (t *Target) Restart(born int64) error {
+	t.silent.Store(false)
+	if err := t.listen(t.Reg.Address); err != nil {
+		return err
+	}
+	t.Reg.Sequence, t.Reg.State, t.Reg.Born = 0, "ready", born
 	t.Register()
-	return t, nil
+	return nil
 }
 
 // Name is the target's name in the store.
@@ -97,7 +123,11 @@
 
 // Stop ends the target: its address refuses connections.
 func (t *Target) Stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.flows = nil
 	_ = t.udp.Close()
+	_ = t.tcp.Close() // the server may not have got it yet
 	_ = t.srv.Close()
 }
 
@@ -109,10 +139,10 @@
 	w.Header().Set("Endpoint-Id", t.Name())
 }
 
-func (t *Target) serve() {
+func (t *Target) serve(udp *net.UDPConn) {
 	buf := make([]byte, 2048)
 	for {
-		n, err := t.udp.Read(buf)
+		n, err := udp.Read(buf)
 		if err != nil {
 			return
 		}
@@ -131,6 +161,9 @@
 func (t *Target) handle(h head, body string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.flows == nil {
+		return // it has stopped
+	}
 	key := [2]netip.AddrPort{h.src, h.dst}
 	fl := t.flows[key]
 	switch {
@@ -164,6 +197,9 @@
 	time.Sleep(time.Duration(t.pace.Load()))
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.flows == nil || t.flows[[2]netip.AddrPort{h.src, h.dst}] != fl {
+		return // the flow or this start of the target has ended
+	}
 	answer := []byte(strings.TrimSpace(body) + " by " + t.Name())
 	t.send(h, head{seq: fl.sent, ack: fl.next, ackOn: true}, answer)
 	fl.sent += uint32(len(answer))
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -66,6 +66,37 @@
 		}
 		return nil
 	}},
+	{"target restarts", func(w *world, r *rand.Rand) func() {
+		x := w.victim(r)
+		if x == nil {
+			return nil
+		}
+		x.crash()
+		return func() { w.restart(x, r.Int64N(10_000)-5000) }
+	}},
+	{"target restarts quickly and again", func(w *world, r *rand.Rand) func() {
+		x := w.victim(r)
+		if x == nil {
+			return nil
+		}
+		for i := range 1 + r.Int64N(3) {
+			x.crash()
+			w.restart(x, -1000*i)
+		}
+		return nil
+	}},
+	{"another program writes a target's entry", func(w *world, r *rand.Rand) func() {
+		x := w.targets[r.IntN(len(w.targets))]
+		if x.ended.Load() {
+			return nil
+		}
+		w.store.PutRaw("servers/"+x.Name(), [][]byte{[]byte(`{"service":"catalogue"}`), []byte(`[]`), []byte("\xff")}[r.IntN(3)])
+		return func() {
+			if !x.ended.Load() {
+				x.Register()
+			}
+		}
+	}},
 	{"target drains", func(w *world, r *rand.Rand) func() {
 		if x := w.victim(r); x != nil {
 			x.draining = time.Now()
@@ -144,6 +175,22 @@
 	}
 }
 
+// crash ends a target that will start again.
+func (x *tracked) crash() {
+	x.ended.Store(true)
+	x.Stop()
+}
+
+// restart starts a target again under its identifier; step is by how much its clock
+// was set meanwhile, in milliseconds.
+func (w *world) restart(x *tracked, step int64) {
+	x.restarted.Store(time.Now().UnixNano())
+	if err := x.Restart(time.Now().UnixMilli() + step); err != nil {
+		w.t.Error(err)
+	}
+	x.ended.Store(false)
+}
+
 func (w *world) failStore(x direct.Fault) func() {
 	w.store.FailAll(x)
 	return func() { w.store.FailAll(direct.Healthy) }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -20,6 +20,8 @@
 	// A signal came 1 ms after a process had started and ended it, and nobody
 	// started it again; so in 4116564383361792273 and 12839547385569337787.
 	12394035969135028012,
+	15839160413560902178,
+	3379556818896069025,
 }
 
 const (
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -64,6 +64,8 @@
 	service  string
 	draining time.Time
 	ended    atomic.Bool // crashed, silent or gone: its flows may be reset
+	// restarted is when its last start began, in Unix ns: flows from before are lost.
+	restarted atomic.Int64
 }
 
 func (w *world) ip(role, i int) netip.Addr {
