Copies that a listing left ahead of their position ask for whole copies

Cause: found by the random model of copies with longer runs. A listing's later pages are newer than its position: they may hold keys that are written after it, and lack keys that are removed after it. Two such copies that follow each other across a gap can keep a key for ever, as neither tells of its removal.

--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -39,6 +40,8 @@
 	// 0.1 s, which would take them 14 s a round. Those turned away read the store.
 	fullNarrow = 2
 	fullWide   = 16
+	// unknownHistory stands for the history of a balancer that has not told it.
+	unknownHistory = math.MaxInt64
 )
 
 // serve answers other balancers that lag.
@@ -129,16 +132,14 @@
 	return ch
 }
 
-// fetchChanges takes what this balancer lacks from another one.
-func (c *control) fetchChanges(ctx context.Context, from netip.AddrPort) {
+// fetchChanges takes what this balancer lacks from another one, which knows all changes
+// after the revision history.
+func (c *control) fetchChanges(ctx context.Context, from netip.AddrPort, history int64) {
 	if c.fetchBusy {
 		return
 	}
 	c.fetchBusy = true
-	after := int64(0)
-	if c.replica.Loaded() {
-		after = c.replica.Position()
-	}
+	after := c.replica.After(history)
 	asked := c.now()
 	go func() {
 		ch, err := c.fetchFromPeer(ctx, from, after)
@@ -213,5 +214,5 @@
 		return
 	}
 	c.askTurn++
-	c.fetchChanges(ctx, others[c.askTurn%len(others)])
+	c.fetchChanges(ctx, others[c.askTurn%len(others)], unknownHistory)
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -64,7 +64,7 @@
 	}
 	n.last, n.heard = h, now
 	if c.lacks(now, h) && !c.reader.Succeeding() {
-		c.fetchChanges(ctx, h.Control)
+		c.fetchChanges(ctx, h.Control, h.History)
 	}
 	c.found(now, h)
 }
--- a/internal/replica/history_test.go
+++ b/internal/replica/history_test.go
@@ -87,8 +87,9 @@
 		}
 	}
 	at := from.Position()
-	items, ok := from.Since(to.Position())
-	if !ok || !to.Loaded() {
+	after := to.After(from.History())
+	items, ok := from.Since(after)
+	if !ok || after == 0 {
 		items = from.All()
 		return func(r *Replica) { r.Replace(items, at, 0) }
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -31,14 +31,21 @@
 	gaps        []gap // but for those in these
 	lastChange  int64 // revision of the last significant change
 	position    int64
-	proven      time.Duration
-	loaded      bool
+	ahead       int64 // the newest item that was beyond the position when it came
+	// exact tells that nothing is missing that was removed after the position: later
+	// pages of a listing lack such keys.
+	exact  bool
+	proven time.Duration
+	loaded bool
 }
 
 // gap is a part of the store's history that a listing has jumped over, between two
 // revisions.
 type gap struct{ from, to int64 }
 
+// has reports whether what followed on a revision is in the gap.
+func (g gap) has(revision int64) bool { return revision > g.from && revision < g.to }
+
 // New returns an empty replica.
 func New(significant func(key string, old, new []byte) bool) *Replica {
 	return &Replica{significant: significant, items: map[string]Item{}}
@@ -58,6 +65,19 @@
 	return now - r.proven
 }
 
+// After returns the revision after which to ask for changes another balancer that knows
+// all of them after the revision history, or 0 if a full copy is needed.
+//
+// Failure: a listing's later pages are newer than its position, and hold a key that is
+// removed before the other balancer lists the store. It shows as a key that stays for
+// ever, as neither the changes since the position nor that listing tell of it.
+func (r *Replica) After(history int64) int64 {
+	if !r.loaded || r.ahead > r.position && history > r.position {
+		return 0
+	}
+	return r.position
+}
+
 // LastChange returns the revision of the last change that mattered.
 func (r *Replica) LastChange() int64 { return r.lastChange }
 
@@ -93,6 +113,7 @@
 	case r.position < history && r.position < position:
 		return Unproven
 	}
+	r.exact = r.exact || position > r.position
 	r.advance(position)
 	r.proven = max(r.proven, proven)
 	return Current
@@ -109,12 +130,14 @@
 // Apply takes all changes of the store since the copy's position, which complete it up
 // to another one at the time proven. It returns those that matter.
 func (r *Replica) Apply(items []Item, position int64, proven time.Duration) []Item {
+	r.exact = r.exact || !r.outdated(position)
 	return r.take(items, position, proven, r.matters)
 }
 
 // Merge takes the changes that matter to another balancer since this copy's position.
 // All of them may matter to a third one, whatever they change here.
 func (r *Replica) Merge(items []Item, position int64, proven time.Duration) []Item {
+	r.exact = r.exact || !r.outdated(position)
 	return r.take(items, position, proven, always)
 }
 
@@ -147,10 +170,13 @@
 	switch {
 	case !r.loaded:
 		r.logFrom = position
-	case position > before:
+	case position > before && r.exact:
 		r.jump(gap{before, position})
+	case position > before:
+		r.jump(gap{before - 1, position})
 	}
 	r.loaded = true
+	r.exact = false
 	return r.take(append(gone, items...), position, proven, func(old, new Item) bool {
 		return new.Revision > before || r.matters(old, new)
 	})
@@ -190,6 +216,9 @@
 			old = Item{Deleted: true}
 		}
 		r.items[i.Key] = i
+		if i.Revision > position {
+			r.ahead = max(r.ahead, i.Revision)
+		}
 		changed := news(old, i)
 		if changed {
 			out = append(out, i)
@@ -246,7 +275,7 @@
 		return nil, false
 	}
 	for _, g := range r.gaps {
-		if after > g.from && after < g.to {
+		if g.has(after) {
 			return nil, false
 		}
 	}
