--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -124,6 +124,7 @@
 func TestKeyThatLapsedInAGap(t *testing.T) {
 	r, peer := New(significant), New(significant)
 	r.Replace([]Item{put("a", "1", 3)}, 5, 0)
+	r.Apply(nil, 5, 0)
 	peer.Replace(nil, 7, 0) // a was removed at 6
 	r.Replace([]Item{put("a", "1", 8)}, 9, 0)
 	if got := peer.Confirm(r.Position(), r.LastChange(), r.History(), 0); got != Behind {
@@ -137,6 +138,19 @@
 	}
 }
 
+// Two balancers list the store, and a key is removed between the pages of the second
+// one's listing, which lacks it. That one lists again later and never hears of the
+// removal. The first one, which has the key, must not take its word for changes.
+func TestKeyRemovedBetweenPages(t *testing.T) {
+	r, peer := New(significant), New(significant)
+	r.Replace([]Item{put("a", "1", 3)}, 5, 0)
+	peer.Replace(nil, 5, 0) // a was removed at 6, before its page was read
+	peer.Replace(nil, 9, 0)
+	if _, ok := peer.Since(r.After(peer.History())); ok {
+		t.Error("changes since the first listing are not known")
+	}
+}
+
 func TestSinceAndLog(t *testing.T) {
 	r := New(significant)
 	r.Replace([]Item{put("a", "0", 1)}, 10, 0)
