--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -200,7 +200,7 @@
 		f.forget(s.Flow())
 		return resetOf(s, why)
 	}
-	if t.dead {
+	if t.dead && first >= t.lostAt && f.hopeless(t, s.Flow()) {
 		f.recheck(t)
 	}
 	return f.forward(t, why)
