rosedale-edge -without NAME,...: mechanisms can be switched off

Cause: an operator could not take a mechanism out of service, and nobody could say what each is worth.

Change: 14 mechanisms have names; the flag takes a list, checks it, `-without help` says what each does, the start line logs what is off.

--- a/cmd/rosedale-edge/main.go
+++ b/cmd/rosedale-edge/main.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"rosedale.dev/rosedale/internal/cli"
+	"rosedale.dev/rosedale/internal/direct"
 	"rosedale.dev/rosedale/internal/edge"
 	"rosedale.dev/rosedale/platform"
 )
@@ -27,10 +28,19 @@
 	fs := flag.NewFlagSet("rosedale-edge", flag.ContinueOnError)
 	config := fs.String("config", os.Getenv(platform.BootVariable), "the platform's settings file")
 	check := fs.Bool("check", false, "check the settings and exit")
+	without := fs.String("without", "", "mechanisms to switch off, separated by commas; help lists them")
 	level := fs.String("log-level", "info", "debug, info, warn or error")
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("ROSEDALE_EDGE")); err != nil {
 		return err
 	}
+	if *without == "help" {
+		listMechanisms()
+		return nil
+	}
+	off, err := direct.ParseMechanisms(*without)
+	if err != nil {
+		return errors.Wrapf(cli.ErrUsage, "-without: %v", err)
+	}
 	if *config == "" {
 		return errors.Wrapf(cli.ErrUsage, "-config or %s is needed", platform.BootVariable)
 	}
@@ -50,5 +60,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	go edge.Reload(reload, *config, log)
-	return edge.Run(ctx, boot, log)
+	return edge.Run(ctx, boot, off, log)
+}
+
+func listMechanisms() {
+	for _, m := range direct.Mechanisms() {
+		fmt.Printf("%-16s %s\n", m, m.Describe())
+	}
 }
--- a/cmd/rosedale-edge/main_test.go
+++ b/cmd/rosedale-edge/main_test.go
@@ -24,6 +24,12 @@
 			t.Errorf("check: %v, want %q", err, want)
 		}
 	}
+	if err := run([]string{"-without", "help"}); err != nil {
+		t.Errorf("list of mechanisms: %v", err)
+	}
+	if err := run([]string{"-check", "-config", file, "-without", "spil"}); err == nil || !strings.Contains(err.Error(), `"spil"`) {
+		t.Errorf("a misspelt mechanism: %v", err)
+	}
 	if err := run([]string{"-config", filepath.Join(t.TempDir(), "none")}); err == nil {
 		t.Error("a missing file was accepted")
 	}
--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -18,7 +18,8 @@
 	MaxFlows   int           // bound of the flow table
 	Seed       uint64
 	// Times takes what packets show of times; nil discards it.
-	Times Times
+	Times   Times
+	Without MechanismSet // those that are switched off
 }
 
 // Forwarder decides on packets. It is not safe for concurrent use.
@@ -54,6 +55,7 @@
 	homes    int  // see SetHomes
 	ends     ends // how requests end
 	times    Times
+	without  MechanismSet
 }
 
 // New returns a Forwarder that knows no target yet.
@@ -78,6 +80,7 @@
 		homes:      1,
 		ends:       newEnds(),
 		times:      c.Times,
+		without:    c.Without,
 	}
 }
 
@@ -138,7 +141,9 @@
 		old = nil
 	}
 	if old != nil {
-		tried = [2]TargetID{old.target.ID, old.tried[0]}
+		if !f.without.Has(SecondTarget) {
+			tried = [2]TargetID{old.target.ID, old.tried[0]}
+		}
 		f.unanswered(now, old)
 	}
 	svc := f.backend(r, s)
--- a/internal/direct/grade.go
+++ b/internal/direct/grade.go
@@ -49,6 +49,9 @@
 // noted takes the end of a request to a target.
 func (f *Forwarder) noted(now time.Duration, t *target, a Answer) {
 	f.ends.counts[a]++
+	if f.without.Has(Grades) {
+		return
+	}
 	f.service(t.Service).record.add(now, a)
 	t.record.add(now, a)
 	if a.weight() > 0 {
--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -69,7 +69,9 @@
 	}
 	x.Target = t
 	x.departed, x.left, x.verify, x.unusable = false, false, false, false
-	x.coldUntil = now + t.ColdLeft
+	if !f.without.Has(ColdStarts) {
+		x.coldUntil = now + t.ColdLeft
+	}
 	delete(f.unreadable, t.ID)
 	return lost
 }
@@ -244,6 +246,9 @@
 
 // SetPeerLoads replaces what the flows of all other balancers hold.
 func (f *Forwarder) SetPeerLoads(loads map[TargetID]Load) {
+	if f.without.Has(PeerFlows) {
+		return
+	}
 	for id, t := range f.targets {
 		t.peers = loads[id]
 	}
--- a/internal/direct/ownlink.go
+++ b/internal/direct/ownlink.go
@@ -19,7 +19,7 @@
 // until the registrations lapse: with four of five dark, 37 of 455 requests in 2 s
 // were lost. A target that answers a check in the same moment tells the two apart.
 func (f *Forwarder) askOwnLink(now time.Duration, silent *target) {
-	if now-f.link.asked < checkPause {
+	if now-f.link.asked < checkPause || f.without.Has(OwnLink) {
 		return
 	}
 	var best *target
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -115,7 +115,7 @@
 func (f *Forwarder) place(now time.Duration, s *service, avoid [2]TargetID) (choice, Reason) {
 	var c choice
 	var why Reason
-	for _, may := range []func(*target, time.Duration) bool{(*target).eligible, (*target).registered, (*target).lapsed, (*target).leaving} {
+	for _, may := range f.fallbacks() {
 		if c, why = f.placeAmong(now, s, avoid, may); c.target != nil {
 			break
 		}
@@ -123,11 +123,27 @@
 	return c, why
 }
 
+// fallbacks returns which targets may take a new flow, from the best to the last resort.
+func (f *Forwarder) fallbacks() []func(*target, time.Duration) bool {
+	if f.without.Has(LapsedTargets) {
+		return withoutLapsed
+	}
+	return withLapsed
+}
+
+var (
+	withLapsed    = []func(*target, time.Duration) bool{(*target).eligible, (*target).registered, (*target).lapsed, (*target).leaving}
+	withoutLapsed = []func(*target, time.Duration) bool{(*target).eligible, (*target).registered, (*target).leaving}
+)
+
 func (f *Forwarder) placeAmong(now time.Duration, s *service, avoid [2]TargetID, may func(*target, time.Duration) bool) (choice, Reason) {
 	near := f.least(now, s, s.near, avoid, may)
 	if near.target != nil && near.load < nearFull {
 		return near, OpenedNear
 	}
+	if near.target != nil && f.without.Has(Spill) {
+		return near, OpenedNear
+	}
 	far := f.least(now, s, s.far, avoid, may)
 	switch {
 	case near.target == nil:
--- a/internal/direct/replayflow_test.go
+++ b/internal/direct/replayflow_test.go
@@ -175,7 +175,7 @@
 	t.bad++
 	fl := q.flow
 	switch t.sick {
-	case errors:
+	case failsAtOnce:
 		r.after(simError+simCaller, func() { r.refused(q) })
 	case hangs:
 		r.after(simDeadline-(r.now-q.asked), func() { r.broken(fl) })
--- a/internal/direct/sick_test.go
+++ b/internal/direct/sick_test.go
@@ -9,9 +9,9 @@
 type sickness uint8
 
 const (
-	errors sickness = iota // a short answer at once
-	hangs                  // no answer; the caller gives up at its deadline
-	breaks                 // the flow ends without an answer
+	failsAtOnce sickness = iota // a short answer at once
+	hangs                       // no answer; the caller gives up at its deadline
+	breaks                      // the flow ends without an answer
 )
 
 // Four of 14 targets fail four tenths of their requests while their health check
@@ -23,7 +23,7 @@
 		name string
 		sick sickness
 		most int // of about 3,300 requests
-	}{{"errors", errors, 170}, {"hangs", hangs, 80}, {"breaks", breaks, 90}} {
+	}{{"errors", failsAtOnce, 170}, {"hangs", hangs, 80}, {"breaks", breaks, 90}} {
 		r := sickDay(func(x *simTarget) { x.sick, x.share = c.sick, 0.4 })
 		t.Logf("%s: %d bad; %v", c.name, r.bad(), r)
 		if bad := r.bad(); bad > c.most {
@@ -53,7 +53,7 @@
 		r.load(i, capacity(14)*0.4*n/14, 8*time.Second)
 	}
 	for _, x := range r.targets {
-		x.sick, x.share = errors, 0.4
+		x.sick, x.share = failsAtOnce, 0.4
 	}
 	r.run(10 * time.Second)
 	t.Log(r)
--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -236,7 +236,7 @@
 	if fl.pending {
 		return f.hopeless(fl.target, fl.key)
 	}
-	return fl.open && !fl.ended
+	return fl.open && !fl.ended && !f.without.Has(IdleResets)
 }
 
 // hopeless reports whether a flow of a dead target is better reset. A request
@@ -282,7 +282,7 @@
 // dark (TestIdleFlowsOfDarkTargets).
 func (f *Forwarder) PeerFoundDead(now time.Duration, id TargetID) []Segment {
 	t := f.targets[id]
-	if t == nil || t.dead || now-t.progress < quiet {
+	if t == nil || t.dead || now-t.progress < quiet || f.without.Has(PeerDeaths) {
 		return nil
 	}
 	t.testified = true
--- a/internal/direct/waits.go
+++ b/internal/direct/waits.go
@@ -72,11 +72,13 @@
 		if fl.gone || fl.open || fl.asked != w.since || fl.target.progress > w.since {
 			continue
 		}
-		f.unanswered(now, fl)
+		if !f.without.Has(OpeningChecks) {
+			f.unanswered(now, fl)
+		}
 	}
 	for w, ok := f.requests.pop(now - answerPatience); ok; w, ok = f.requests.pop(now - answerPatience) {
 		fl := w.flow
-		if fl.gone || !fl.pending || fl.asked != w.since || fl.target.progress > w.since {
+		if fl.gone || !fl.pending || fl.asked != w.since || fl.target.progress > w.since || f.without.Has(RequestChecks) {
 			continue
 		}
 		fl.target.overdue = true
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -35,9 +35,10 @@
 
 // Edge is a running balancer.
 type Edge struct {
-	boot  platform.Boot
-	log   *Logger
-	start time.Time
+	boot    platform.Boot
+	without direct.MechanismSet // those that are switched off
+	log     *Logger
+	start   time.Time
 
 	mu      sync.Mutex // guards forward
 	forward *direct.Forwarder
@@ -51,9 +52,10 @@
 	counts  counts
 }
 
-// Run runs a balancer until ctx ends, and then stops it gracefully.
-func Run(ctx context.Context, boot platform.Boot, log *Logger) error {
-	e := &Edge{boot: boot, log: log, start: time.Now()}
+// Run runs a balancer without some mechanisms until ctx ends, and then stops it
+// gracefully.
+func Run(ctx context.Context, boot platform.Boot, without direct.MechanismSet, log *Logger) error {
+	e := &Edge{boot: boot, without: without, log: log, start: time.Now()}
 	m := metrics.New()
 	e.times = newTimes(m)
 	e.forward = direct.New(direct.Config{
@@ -62,6 +64,7 @@
 		MaxFlows:   max(boot.MemoryMB<<20/flowShare/flowBytes, 1000),
 		Seed:       uint64(e.start.UnixNano()),
 		Times:      e.times,
+		Without:    without,
 	})
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -83,7 +86,7 @@
 		return err
 	}
 	defer admin.close()
-	log.Info("started", zap.Stringer("data", boot.Data), zap.Stringer("store", boot.Store), zap.Int("seeds", len(boot.Seeds)))
+	log.Info("started", zap.Stringer("data", boot.Data), zap.Stringer("store", boot.Store), zap.Int("seeds", len(boot.Seeds)), zap.Stringer("without", without))
 	go e.control.run(work)
 	go e.packets.run()
 	<-ctx.Done()
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -170,7 +170,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	b.stop = stop
 	go func() {
-		b.done <- Run(ctx, b.boot, log)
+		b.done <- Run(ctx, b.boot, 0, log)
 		log.Close()
 	}()
 	d.t.Cleanup(func() { b.end(d.t) })
--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -36,7 +36,7 @@
 // of its flows to find out for itself; 450 of 3,860 requests were late in the 2 s
 // in which 20 of 150 targets fell silent.
 func (c *control) alarmIfDue(now time.Duration) {
-	if !c.alarmDue || now-c.alarmed < alarmPause {
+	if !c.alarmDue || now-c.alarmed < alarmPause || c.edge.without.Has(direct.Alarms) {
 		return
 	}
 	c.alarmDue, c.alarmed = false, now
--- a/internal/edge/outnumbered.go
+++ b/internal/edge/outnumbered.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"rosedale.dev/rosedale/internal/direct"
 	"rosedale.dev/rosedale/internal/peer"
 )
 
@@ -20,7 +21,7 @@
 // among them, 6 and 2 instead of 79 and 73 of 5,433 requests were not served, and the
 // worst 2 s served 0.834 and 0.841 instead of 0.728 and 0.732.
 func (c *control) yieldIfOutnumbered(now time.Duration) {
-	yield := c.fleet.Small() && peer.Outnumbered(c.edge.boot.DataCenter, c.presences(now))
+	yield := c.fleet.Small() && !c.edge.without.Has(direct.Yield) && peer.Outnumbered(c.edge.boot.DataCenter, c.presences(now))
 	if c.edge.ready.yields(yield) == yield {
 		return
 	}
