--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -41,6 +41,8 @@
 	"capacity": experiment.Capacity,
 	"relay":    experiment.Relay,
 	"sizes":    experiment.Sizes,
+	"outage":   experiment.Outage,
+	"account":  experiment.Account,
 }
 
 func main() {
--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -149,11 +149,16 @@
 		}
 	}
 	page = read(t, "../../docs/operators/platform.md")
-	for _, flag := range []string{"-config", "-check", "-log-level"} {
+	for _, flag := range []string{"-config", "-check", "-log-level", "-without"} {
 		if !strings.Contains(page, "`"+flag+"`") {
 			t.Errorf("%s is not documented", flag)
 		}
 	}
+	for _, m := range direct.Mechanisms() {
+		if !strings.Contains(page, "`"+m.String()+"`") {
+			t.Errorf("mechanism %s is not documented", m)
+		}
+	}
 }
 
 // Every key of the settings has to stand in the reference.
--- a/internal/direct/dark_test.go
+++ b/internal/direct/dark_test.go
@@ -30,3 +30,70 @@
 		t.Errorf("%d of %d requests were lost", failed, asked)
 	}
 }
+
+// A target goes dark while this balancer's flows there are idle. Its own checks prove
+// nothing as long as nobody waits, but a peer whose callers wait in vain tells that it
+// found the target dead: the idle flows end before a request is lost on them. A target
+// that answers this balancer's check stays, whatever the peer says.
+func TestPeerFoundTargetDead(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		b := newFixture(t, manyTargets(5)...)
+		b.live(0)
+		id := b.open(1, notes)
+		b.now += time.Second
+		b.live(id)
+		b.f.PeerSuspects(b.now, id)
+		if len(b.f.Suspects(b.now)) != 1 {
+			t.Fatal("the target is not checked")
+		}
+		b.now += 200 * time.Millisecond
+		b.live(id)
+		finding := Silent
+		if answers {
+			finding = Alive
+		}
+		if v := b.f.Checked(b.now, Start{ID: id}, finding); len(v.Resets) != 0 {
+			t.Errorf("%d flows were reset though nobody waits there", len(v.Resets))
+		}
+		b.now += 100 * time.Millisecond
+		lost := b.f.PeerFoundDead(b.now, id)
+		if want := map[bool]int{false: 2, true: 0}[answers]; len(lost) != want { // with that of live
+			t.Errorf("answers %v: %d flows are reset, want %d", answers, len(lost), want)
+		}
+		if again := b.f.PeerFoundDead(b.now+tick, id); len(again) != 0 || len(b.f.Suspects(b.now+tick)) != 0 {
+			t.Errorf("answers %v: the peer's word is acted on again", answers)
+		}
+	}
+}
+
+// tick is the time between two heartbeats of a peer.
+const tick = 100 * time.Millisecond
+
+// A target was found dead, starts again under its identifier, and a balancer that
+// knows opens a flow there. This balancer has not heard of it and gets the flow's next
+// packet: it must not reset the flow of a living target. Once a check that began after
+// the packet finds the target dead, the flow is certainly lost.
+func TestFlowSeenAfterItsTargetDied(t *testing.T) {
+	b := newFixture(t, manyTargets(3)...)
+	id := b.open(1, streams)
+	b.ask(1, streams, id, 101, 1000)
+	check := func(x Finding) {
+		t.Helper()
+		b.now += time.Millisecond
+		if len(b.f.Suspects(b.now)) != 1 {
+			t.Fatal("the target is not checked")
+		}
+		b.f.Checked(b.now, Start{ID: id}, x)
+	}
+	b.now += answerPatience
+	b.f.Tick(b.now)
+	check(Gone)
+	b.now += recheckPause
+	b.want(b.ask(2, streams, id, 101, 1000), Forwarded)
+	check(Gone)
+	b.want(b.ask(2, streams, id, 101, 1000), ResetSilent)
+	b.now += recheckPause
+	b.want(b.ask(3, streams, id, 101, 1000), Forwarded)
+	check(Alive)
+	b.want(b.ask(3, streams, id, 101, 1000), Forwarded)
+}
