A request's patience follows what is usual on its route

On a service that takes longer than 0.1 s every request would have its target checked.

Change: three times the route's usual time, 0.1 s at least, from a queue for each route.

--- a/internal/direct/dark_test.go
+++ b/internal/direct/dark_test.go
@@ -66,6 +66,37 @@
 	}
 }
 
+// A service takes 0.3 s for each request. Once that is known, no target may be checked
+// after 0.1 s already: each check takes a slot, and there would be one for each request.
+func TestPatienceFollowsTheRoute(t *testing.T) {
+	b := newFixture(t, manyTargets(1)...)
+	const work = 300 * time.Millisecond
+	id := b.open(1, streams)
+	seq, ack := uint32(101), uint32(1000)
+	for range learnt + 1 {
+		b.ask(1, streams, id, seq, ack)
+		seq += 300
+		b.now += work
+		ack += 2000
+		s := packet(1, streams, ACK, id.Cookie())
+		s.Seq, s.Ack = seq, ack
+		b.handle(s)
+	}
+	b.f.Suspects(b.now)
+	b.now += time.Second
+	b.ask(1, streams, id, seq, ack)
+	b.now += work
+	b.f.Tick(b.now)
+	if n := len(b.f.Suspects(b.now)); n != 0 {
+		t.Error("the target is checked though the answer is not late")
+	}
+	b.now += slowFactor * work
+	b.f.Tick(b.now)
+	if n := len(b.f.Suspects(b.now)); n != 1 {
+		t.Error("the target is not checked though the answer is overdue")
+	}
+}
+
 // tick is the time between two heartbeats of a peer.
 const tick = 100 * time.Millisecond
 
--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -46,7 +46,6 @@
 	routeless  map[FlowKey]time.Duration // open flows without a route, by when first seen
 
 	openings waits         // unanswered openings
-	requests waits         // requests without a sign of their answer
 	busy     waits         // requests that count as under way
 	usual    time.Duration // from an opening to the caller's next packet
 	due      bool          // a target has become suspicious
--- a/internal/direct/grade.go
+++ b/internal/direct/grade.go
@@ -34,6 +34,7 @@
 // ends is what is known of how requests end.
 type ends struct {
 	usuals   map[netip.AddrPort]*usual // by route
+	routes   []*usual                  // the same in the order in which they were first seen
 	queue    waits                     // requests that wait to be judged
 	doubtful map[*target]bool          // targets that failed requests lately
 	counts   [answers]uint64           // of requests, by how they ended
--- a/internal/direct/judge.go
+++ b/internal/direct/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -21,6 +22,7 @@
 	if u == nil {
 		u = &usual{}
 		f.ends.usuals[address] = u
+		f.ends.routes = append(f.ends.routes, u)
 	}
 	return u
 }
@@ -82,6 +84,8 @@
 func (f *Forwarder) forgetUsuals() {
 	for a := range f.ends.usuals {
 		if _, ok := f.catalogue.Routes[a]; !ok {
+			u := f.ends.usuals[a]
+			f.ends.routes = slices.DeleteFunc(f.ends.routes, func(o *usual) bool { return o == u })
 			delete(f.ends.usuals, a)
 		}
 	}
--- a/internal/direct/observe.go
+++ b/internal/direct/observe.go
@@ -125,7 +125,7 @@
 func (f *Forwarder) request(now time.Duration, fl *flow) {
 	fl.asked = now
 	fl.pending = true
-	f.requests.push(fl, now)
+	f.usualOf(fl.key.Address).waiting.push(fl, now)
 	f.busy.push(fl, now)
 	if !fl.busy && !fl.ended {
 		fl.busy = true
--- a/internal/direct/usual.go
+++ b/internal/direct/usual.go
@@ -31,6 +31,24 @@
 	took float64 // median in nanoseconds
 	size float64 // median in bytes
 	n    int
+	// waiting are requests without a sign of their answer.
+	waiting waits
+}
+
+// patience returns how long a request may be under way before its target is checked if
+// nothing else came from it.
+//
+// Failure: with a fixed 0.1 s each request of a service that takes longer has its target
+// checked, and each check takes a slot. Three times the usual is what 1 of 170 answers of
+// healthy targets takes.
+//
+// Gain: at 1,800 requests a second with a usual 45 ms, 7,783 instead of 15,179 checks in
+// 60 s, while 30 of 120 targets went dark; 60 instead of 63 requests failed.
+func (u *usual) patience() time.Duration {
+	if u.n < learnt {
+		return answerPatience
+	}
+	return max(answerPatience, time.Duration(slowFactor*u.took))
 }
 
 func (u *usual) learn(took time.Duration, size uint32) {
--- a/internal/direct/waits.go
+++ b/internal/direct/waits.go
@@ -15,8 +15,8 @@
 	firstUsual = 10 * time.Millisecond
 	// usualWeight smooths the measurement over about 16 openings.
 	usualWeight = 1.0 / 16
-	// answerPatience is how long a request may be under way before its target
-	// is checked if nothing else came from it: three times its usual work.
+	// answerPatience is how long a request may be under way at least before its
+	// target is checked if nothing else came from it; see usual.patience.
 	answerPatience = 100 * time.Millisecond
 	// busyMax is how long a request counts as under way if nothing shows its
 	// end. Callers acknowledge nearly every answer at once (900 of 903), so that
@@ -76,7 +76,20 @@
 			f.unanswered(now, fl)
 		}
 	}
-	for w, ok := f.requests.pop(now - answerPatience); ok; w, ok = f.requests.pop(now - answerPatience) {
+	for _, u := range f.ends.routes {
+		f.overdueRequests(now, u)
+	}
+	for w, ok := f.busy.pop(now - busyMax); ok; w, ok = f.busy.pop(now - busyMax) {
+		if !w.flow.gone && w.flow.asked == w.since {
+			f.idle(w.flow)
+		}
+	}
+}
+
+// overdueRequests looks for targets that owe an answer on one route.
+func (f *Forwarder) overdueRequests(now time.Duration, u *usual) {
+	patience := u.patience()
+	for w, ok := u.waiting.pop(now - patience); ok; w, ok = u.waiting.pop(now - patience) {
 		fl := w.flow
 		if fl.gone || !fl.pending || fl.asked != w.since || fl.target.progress > w.since || f.without.Has(RequestChecks) {
 			continue
@@ -85,11 +98,6 @@
 		f.suspect(fl.target)
 		f.due = true
 	}
-	for w, ok := f.busy.pop(now - busyMax); ok; w, ok = f.busy.pop(now - busyMax) {
-		if !w.flow.gone && w.flow.asked == w.since {
-			f.idle(w.flow)
-		}
-	}
 }
 
 // Due reports, once, whether a target has become suspicious since the last
