A request under way here weighs one and a half when placing

A new target has few open flows, so that all balancers open there at once, and each sees only its own requests.

Change: busyFactor 1.5.

TestIdleFlowsOfDarkTargets had a bound of 120 lost that one draw met and another missed (121); it now compares 20 runs with and without each of the two mechanisms (477, 1,099, 502 lost), which also fails if either is switched off.

--- a/internal/direct/dark_test.go
+++ b/internal/direct/dark_test.go
@@ -9,26 +9,43 @@
 // run twice: one that is sent on a flow of a dead target is lost, as its caller does not
 // try again. Three of 14 targets go dark. Their idle flows have to end before the next
 // requests are sent there.
+// Without the resets of idle flows twice as many are lost, and more if callers that wait
+// at other balancers prove nothing.
 func TestIdleFlowsOfDarkTargets(t *testing.T) {
-	failed, asked := 0, 0
-	for seed := range uint64(5) {
-		r := newReplay(11+seed, []int{3, 2, 2}, []int{5, 5, 4})
-		r.once = true
-		for i, n := range []float64{5, 5, 4} {
-			r.load(i, capacity(14)*0.4*n/14, 8*time.Second)
+	lost := map[MechanismSet]int{}
+	asked := 0
+	for _, without := range []MechanismSet{0, 1 << IdleResets, 1 << PeerDeaths} {
+		for seed := range uint64(20) {
+			r := darkDay(11+seed, without)
+			lost[without] += r.failed
+			asked += r.asked
 		}
-		r.run(3 * time.Second)
-		for _, x := range []int{0, 1, 6} {
-			r.targets[x].dark = true
-		}
-		r.run(12 * time.Second)
-		t.Log(r)
-		failed += r.failed
-		asked += r.asked
+		t.Logf("without %q: %d lost", without, lost[without])
+	}
+	if got := float64(lost[0]) / float64(asked/3); got > 0.0095 {
+		t.Errorf("%.4f of the requests were lost", got)
+	}
+	if lost[0]*2 > lost[1<<IdleResets] {
+		t.Errorf("%d lost, %d without resets of idle flows", lost[0], lost[1<<IdleResets])
+	}
+	if lost[0] >= lost[1<<PeerDeaths] {
+		t.Errorf("%d lost, %d without the evidence of peers", lost[0], lost[1<<PeerDeaths])
+	}
+}
+
+// darkDay has three of 14 targets go dark under flows that stay open.
+func darkDay(seed uint64, without MechanismSet) *replay {
+	r := newReplayWithout(seed, []int{3, 2, 2}, []int{5, 5, 4}, without)
+	r.once = true
+	for i, n := range []float64{5, 5, 4} {
+		r.load(i, capacity(14)*0.4*n/14, 8*time.Second)
 	}
-	if failed > 120 {
-		t.Errorf("%d of %d requests were lost", failed, asked)
+	r.run(3 * time.Second)
+	for _, x := range []int{0, 1, 6} {
+		r.targets[x].dark = true
 	}
+	r.run(12 * time.Second)
+	return r
 }
 
 // A target goes dark while this balancer's flows there are idle. Its own checks prove
--- a/internal/direct/dead.go
+++ b/internal/direct/dead.go
@@ -6,8 +6,8 @@
 // those that wait for an answer that will not come, and those that are idle.
 //
 // Gain: a request that must not run twice is lost for good if its caller sends it on a
-// flow of a dead target. Reset while idle, the caller opens another one first: 124 instead
-// of 271 of 13,106 requests were lost while three of 14 targets went dark
+// flow of a dead target. Reset while idle, the caller opens another one first: 477 instead
+// of 1,099 of 54,000 requests were lost in 20 runs in which three of 14 targets went dark
 // (TestIdleFlowsOfDarkTargets).
 func (f *Forwarder) bury(now time.Duration, t *target) []Segment {
 	if t.dead {
@@ -51,8 +51,8 @@
 // answer, which proves nothing while nobody waits, and the flows stay open until a
 // request is lost on one of them. Callers that wait at another balancer prove as much.
 //
-// Gain: 114 instead of 124 of 13,106 requests were lost while three of 14 targets went
-// dark (TestIdleFlowsOfDarkTargets).
+// Gain: 477 instead of 502 requests were lost in the same runs; 59 instead of 123 of
+// 107,000 in a fleet of 67 balancers, which have few flows each at a target.
 func (f *Forwarder) PeerFoundDead(now time.Duration, id TargetID) []Segment {
 	t := f.targets[id]
 	if t == nil || t.dead || now-t.progress < quiet || f.without.Has(PeerDeaths) {
--- a/internal/direct/place.go
+++ b/internal/direct/place.go
@@ -17,6 +17,15 @@
 	// nearFull is the load per slot from which on other data centres are
 	// considered at all: below it, a request near by waits for half another one.
 	nearFull = 1.5
+	// busyFactor is how much heavier a request under way here weighs than it is: the
+	// other balancers have some there too, and see the same few open flows that make
+	// a target look idle.
+	//
+	// Gain: with 1.5 instead of 1, 1,008 instead of 1,286 answers were late in 12 runs
+	// of a burst of 1.7 beside a rolling replacement and 12 of bursts of one data
+	// centre. With 2, 0.22 instead of 0.08 of the flows cross data centres at 0.9 of what
+	// the slots do (TestEvenLoad).
+	busyFactor = 1.5
 	// coldFactor is how much heavier a request weighs on a target that has
 	// just started. Cold targets are slower by about 1.6.
 	coldFactor = 1.6
@@ -46,7 +55,7 @@
 // 100 requests were late and 5 instead of 42 of 7,500 turned away by a full
 // target (TestEvenLoad).
 func (t *target) load(now time.Duration, work float64) float64 {
-	n := float64(t.busy) + work*float64(t.flows+t.peers.Flows)
+	n := busyFactor*float64(t.busy) + work*float64(t.flows+t.peers.Flows)
 	if now < t.coldUntil {
 		n = n*coldFactor + coldFactor - 1
 	}
--- a/internal/direct/replay_test.go
+++ b/internal/direct/replay_test.go
@@ -113,6 +113,11 @@
 
 // newReplay builds data centres with so many balancers and targets each.
 func newReplay(seed uint64, balancers, targets []int) *replay {
+	return newReplayWithout(seed, balancers, targets, 0)
+}
+
+// newReplayWithout is newReplay with some mechanisms of the balancers switched off.
+func newReplayWithout(seed uint64, balancers, targets []int, without MechanismSet) *replay {
 	r := &replay{rng: rand.New(rand.NewPCG(seed, 9)), byID: map[TargetID]*simTarget{}, centres: len(targets), goal: 150 * time.Millisecond, retries: 2}
 	cat := &Catalogue{
 		Version: 1,
@@ -132,7 +137,7 @@
 	}
 	for c, n := range balancers {
 		for range n {
-			f := New(Config{DataCenter: fmt.Sprint(c), FlowMaxAge: time.Minute, MaxFlows: 100000, Seed: seed + uint64(len(r.balancers))})
+			f := New(Config{DataCenter: fmt.Sprint(c), FlowMaxAge: time.Minute, MaxFlows: 100000, Seed: seed + uint64(len(r.balancers)), Without: without})
 			f.SetCatalogue(cat)
 			for _, t := range r.targets {
 				f.PutTarget(0, t.Target)
