--- a/internal/direct/dead.go
+++ b/internal/direct/dead.go
@@ -37,8 +37,8 @@
 	return fl.open && !fl.ended && !f.without.Has(IdleResets)
 }
 
-// hopeless reports whether a flow of a dead target is better reset. A request
-// that must not run twice may have reached a target behind a cut, whose answer
+// hopeless reports whether a caller that waits at a dead target had better try again. A
+// request that must not run twice may have reached a target behind a cut, whose answer
 // goes straight to the caller and may still come.
 func (f *Forwarder) hopeless(t *target, k FlowKey) bool {
 	return t.finding == Gone || f.mayRepeat(k)
--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -41,8 +41,8 @@
 	suspects  map[*target]bool         // those that Suspects has to look at
 	proven    time.Duration            // when the targets were last known to be all
 	strange   map[Cookie]time.Duration // unknown cookies, by when first seen
-	// unreadable are registrations that exist and were never usable here.
-	unreadable map[TargetID]bool
+	// unreadable are registrations that exist and were never usable here, by cookie.
+	unreadable map[Cookie]TargetID
 	routeless  map[FlowKey]time.Duration // open flows without a route, by when first seen
 
 	openings waits         // unanswered openings
@@ -72,7 +72,7 @@
 		services:   map[string]*service{},
 		flows:      map[FlowKey]*flow{},
 		strange:    map[Cookie]time.Duration{},
-		unreadable: map[TargetID]bool{},
+		unreadable: map[Cookie]TargetID{},
 		routeless:  map[FlowKey]time.Duration{},
 		suspects:   map[*target]bool{},
 		usual:      firstUsual,
--- a/internal/direct/mechanism.go
+++ b/internal/direct/mechanism.go
@@ -30,7 +30,7 @@
 )
 
 var mechanismTexts = [mechanisms]struct{ name, what string }{
-	RequestChecks: {"request-checks", "check a target whose request shows no sign of life for 0.1 s"},
+	RequestChecks: {"request-checks", "check a target whose request shows no sign of life for three times the usual"},
 	OpeningChecks: {"opening-checks", "check a target that leaves an opening unanswered"},
 	IdleResets:    {"idle-resets", "reset idle flows of a target that is found dead"},
 	PeerDeaths:    {"peer-deaths", "take callers that wait at peers as evidence that a target is dead"},
--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -72,7 +72,7 @@
 	if !f.without.Has(ColdStarts) {
 		x.coldUntil = now + t.ColdLeft
 	}
-	delete(f.unreadable, t.ID)
+	delete(f.unreadable, t.ID.Cookie())
 	return lost
 }
 
@@ -106,7 +106,7 @@
 		x.unusable = true
 		return
 	}
-	f.unreadable[id] = true
+	f.unreadable[id.Cookie()] = id
 }
 
 // claim gives the target its cookie.
@@ -129,7 +129,9 @@
 // store may only be cut off from it: it is checked, and its flows are reset if
 // that fails.
 func (f *Forwarder) RemoveTarget(now time.Duration, id TargetID) {
-	delete(f.unreadable, id)
+	if f.unreadable[id.Cookie()] == id {
+		delete(f.unreadable, id.Cookie())
+	}
 	x := f.targets[id]
 	if x == nil || x.departed {
 		return
--- a/internal/direct/unknown.go
+++ b/internal/direct/unknown.go
@@ -63,10 +63,6 @@
 // which other balancers still forward. They stay without an answer here, and callers
 // that repeat through another balancer get one.
 func (f *Forwarder) undecided(c Cookie) bool {
-	for id := range f.unreadable {
-		if id.Cookie() == c {
-			return true
-		}
-	}
-	return false
+	_, ok := f.unreadable[c]
+	return ok
 }
