--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -12,9 +12,6 @@
 	// removedMemory is the number of revisions for which a removal is
 	// remembered, so that an older listing does not bring the item back.
 	removedMemory = 100000
-	// maxGaps is the number of gaps that are remembered. Peers that are in an older
-	// one take all items.
-	maxGaps = 8
 )
 
 // neverLoaded is the age of a copy that was never loaded: longer than any limit.
@@ -39,13 +36,6 @@
 	loaded bool
 }
 
-// gap is a part of the store's history that a listing has jumped over, between two
-// revisions.
-type gap struct{ from, to int64 }
-
-// has reports whether what followed on a revision is in the gap.
-func (g gap) has(revision int64) bool { return revision > g.from && revision < g.to }
-
 // New returns an empty replica.
 func New(significant func(key string, old, new []byte) bool) *Replica {
 	return &Replica{significant: significant, items: map[string]Item{}}
@@ -119,14 +109,6 @@
 	return Current
 }
 
-// History returns the revision after which all changes that mattered are known here.
-func (r *Replica) History() int64 {
-	if len(r.gaps) == 0 {
-		return r.logFrom
-	}
-	return max(r.logFrom, r.gaps[len(r.gaps)-1].to)
-}
-
 // Apply takes all changes of the store since the copy's position, which complete it up
 // to another one at the time proven. It returns those that matter.
 func (r *Replica) Apply(items []Item, position int64, proven time.Duration) []Item {
@@ -191,15 +173,6 @@
 // return is not told to peers.
 func (r *Replica) outdated(position int64) bool { return r.loaded && position < r.position }
 
-// jump notes a gap.
-func (r *Replica) jump(g gap) {
-	r.gaps = append(r.gaps, g)
-	if len(r.gaps) > maxGaps {
-		r.logFrom = max(r.logFrom, r.gaps[0].to)
-		r.gaps = r.gaps[1:]
-	}
-}
-
 // take stores the items that are newer than those known. news tells which of them
 // matter.
 func (r *Replica) take(items []Item, position int64, proven time.Duration, news func(old, new Item) bool) []Item {
