--- /dev/null
+++ b/internal/edge/items_fuzz_test.go
@@ -0,0 +1,60 @@
+package edge
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"rosedale.dev/rosedale/internal/direct"
+	"rosedale.dev/rosedale/internal/replica"
+	"rosedale.dev/rosedale/platform"
+)
+
+// goodTarget is the registration of a target as it should be.
+const goodTarget = `{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":2,"state":"ready","coldLeftMs":0,"sequence":1}`
+
+// FuzzItemAmongGoodOnes has another program write anything under a target's or a
+// balancer's key, among entries that are well: these must mean what they mean without it.
+func FuzzItemAmongGoodOnes(f *testing.F) {
+	f.Add("servers/i-9", []byte(goodTarget))
+	f.Add("servers/i-9", []byte(`{"service":"s","slots":"many"}`))
+	f.Add("servers/", []byte("x"))
+	f.Add("rosedale/vm/x", []byte{0xa0})
+	f.Add("rosedale/vm/x", []byte("\xa1\x01\x61x"))
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		if id, err := platform.ParseTargetID(key); err == nil && (id == 1 || id == 2) {
+			t.Skip("the good targets' own entries")
+		}
+		if _, err := platform.ParseTarget(key, value); err == nil {
+			t.Skip("an entry of another target, which may take a cookie")
+		}
+		good := []replica.Item{
+			{Key: "servers/i-1", Value: []byte(goodTarget), Revision: 1},
+			{Key: "servers/i-2", Value: []byte(goodTarget), Revision: 2},
+		}
+		without := targetsAfter(t, good)
+		bad := replica.Item{Key: key, Value: value, Revision: 3}
+		with := targetsAfter(t, []replica.Item{good[0], bad, good[1]})
+		for id, x := range without {
+			if !reflect.DeepEqual(with[id], x) {
+				t.Errorf("with %q at %q target %s is %+v, without it %+v", value, key, id, with[id], x)
+			}
+		}
+	})
+}
+
+// targetsAfter returns what a balancer believes of its targets after some items.
+func targetsAfter(t *testing.T, items []replica.Item) map[string]direct.TargetInfo {
+	c := bareControl(t)
+	c.replica = replica.New(func(string, []byte, []byte) bool { return true })
+	c.edge.forward = direct.New(direct.Config{DataCenter: "a", FlowMaxAge: time.Minute, MaxFlows: 10})
+	c.apply(items, "test")
+	out := map[string]direct.TargetInfo{}
+	for _, x := range c.edge.forward.Targets(0) {
+		if x.ID == "1" || x.ID == "2" {
+			x.Silence = 0
+			out[x.ID] = x
+		}
+	}
+	return out
+}
