--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -283,7 +283,7 @@
 
 // bareControl is the control state of balancer a1 of data centre a, without
 // sockets, for tests of single decisions.
-func bareControl(t *testing.T) *control {
+func bareControl(t testing.TB) *control {
 	t.Helper()
 	e := &Edge{boot: platform.Boot{VM: "a1", DataCenter: "a"}, start: time.Now(), ready: &ready{}}
 	log, err := NewLogger(&output{}, "info", e.boot)
--- a/internal/edge/items_fuzz_test.go
+++ b/internal/edge/items_fuzz_test.go
@@ -16,6 +16,8 @@
 // FuzzItemAmongGoodOnes has another program write anything under a target's or a
 // balancer's key, among entries that are well: these must mean what they mean without it.
 func FuzzItemAmongGoodOnes(f *testing.F) {
+	// One logger for all inputs: its goroutine ends with the process only.
+	c := bareControl(f)
 	f.Add("servers/i-9", []byte(goodTarget))
 	f.Add("servers/i-9", []byte(`{"service":"s","slots":"many"}`))
 	f.Add("servers/", []byte("x"))
@@ -32,9 +34,9 @@
 			{Key: "servers/i-1", Value: []byte(goodTarget), Revision: 1},
 			{Key: "servers/i-2", Value: []byte(goodTarget), Revision: 2},
 		}
-		without := targetsAfter(t, good)
+		without := targetsAfter(c, good)
 		bad := replica.Item{Key: key, Value: value, Revision: 3}
-		with := targetsAfter(t, []replica.Item{good[0], bad, good[1]})
+		with := targetsAfter(c, []replica.Item{good[0], bad, good[1]})
 		for id, x := range without {
 			if !reflect.DeepEqual(with[id], x) {
 				t.Errorf("with %q at %q target %s is %+v, without it %+v", value, key, id, with[id], x)
@@ -44,8 +46,7 @@
 }
 
 // targetsAfter returns what a balancer believes of its targets after some items.
-func targetsAfter(t *testing.T, items []replica.Item) map[string]direct.TargetInfo {
-	c := bareControl(t)
+func targetsAfter(c *control, items []replica.Item) map[string]direct.TargetInfo {
 	c.replica = replica.New(func(string, []byte, []byte) bool { return true })
 	c.edge.forward = direct.New(direct.Config{DataCenter: "a", FlowMaxAge: time.Minute, MaxFlows: 10})
 	c.apply(items, "test")
