One piece of code where the change had written two or four

Found on reading the change once more: asking for a target's check stood in four places (wantCheck now, also in ownlink.go, which was there before), dropping late answers of peers and of the store in three (follow).

Seen and left: Suspected and FoundDead walk the same set, with a condition each; an entry's key is decoded twice, once for entries that cannot be used.

--- a/internal/direct/dead.go
+++ b/internal/direct/dead.go
@@ -64,10 +64,8 @@
 		t.lostAt = t.checked
 		return f.bury(now, t)
 	case t.flows > 0 && !t.checking && (t.failed > 0 || now-t.checked > checkPause):
-		t.verify = true
 		t.failed = max(t.failed, 1)
-		f.suspect(t)
-		f.due = true
+		f.wantCheck(t)
 	}
 	return nil
 }
--- a/internal/direct/ended.go
+++ b/internal/direct/ended.go
@@ -27,10 +27,3 @@
 	}
 	return 0, false
 }
-
-// recheck has a dead target checked for a flow that it may hold.
-func (f *Forwarder) recheck(t *target) {
-	t.verify = true
-	f.suspect(t)
-	f.due = true
-}
--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -205,7 +205,7 @@
 		return resetOf(s, why)
 	}
 	if t.dead && first >= t.lostAt && f.hopeless(t, s.Flow()) {
-		f.recheck(t)
+		f.wantCheck(t)
 	}
 	return f.forward(t, why)
 }
--- a/internal/direct/ownlink.go
+++ b/internal/direct/ownlink.go
@@ -33,9 +33,7 @@
 	}
 	f.link.asked = now
 	best.witness = true
-	best.verify = true
-	f.suspect(best)
-	f.due = true
+	f.wantCheck(best)
 }
 
 // mayWitness reports whether nothing speaks against a target, and whether it may
--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -59,6 +59,13 @@
 // suspect has Suspects look at a target.
 func (f *Forwarder) suspect(t *target) { f.suspects[t] = true }
 
+// wantCheck has a target checked without further evidence, and soon.
+func (f *Forwarder) wantCheck(t *target) {
+	t.verify = true
+	f.suspect(t)
+	f.due = true
+}
+
 // inOrder returns a set of targets by identifier, so that the same events always
 // lead to the same decisions.
 func inOrder(set map[*target]bool) []*target {
@@ -221,10 +228,8 @@
 	t.avoidUntil = now + avoidTime
 	t.told = true
 	if t.flows > 0 && t.failed == 0 && now-t.checked > checkPause {
-		t.verify = true
 		t.failed = 1
-		f.suspect(t)
-		f.due = true
+		f.wantCheck(t)
 	}
 	return news
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -112,15 +112,22 @@
 // Apply takes all changes of the store since the copy's position, which complete it up
 // to another one at the time proven. It returns those that matter.
 func (r *Replica) Apply(items []Item, position int64, proven time.Duration) []Item {
-	r.exact = r.exact || !r.outdated(position)
-	return r.take(items, position, proven, r.matters)
+	return r.follow(items, position, proven, r.matters)
 }
 
 // Merge takes the changes that matter to another balancer since this copy's position.
 // All of them may matter to a third one, whatever they change here.
 func (r *Replica) Merge(items []Item, position int64, proven time.Duration) []Item {
-	r.exact = r.exact || !r.outdated(position)
-	return r.take(items, position, proven, always)
+	return r.follow(items, position, proven, always)
+}
+
+// follow takes changes unless they come too late.
+func (r *Replica) follow(items []Item, position int64, proven time.Duration, news func(old, new Item) bool) []Item {
+	if r.outdated(position) {
+		return nil
+	}
+	r.exact = true
+	return r.take(items, position, proven, news)
 }
 
 func always(Item, Item) bool { return true }
@@ -176,9 +183,6 @@
 // take stores the items that are newer than those known. news tells which of them
 // matter.
 func (r *Replica) take(items []Item, position int64, proven time.Duration, news func(old, new Item) bool) []Item {
-	if r.outdated(position) {
-		return nil
-	}
 	var out []Item
 	for _, i := range items {
 		old, known := r.items[i.Key]
