Few balancers list the store for all that start at once

Cause: after a loss of all VMs each of 353 listed the store; the listings share its link (1,074 items, 0.5 s of 1 Gbit/s), and callers waited 0.46 to 0.65 s after each VM's start. In a new fleet every VM took itself for the first reader and read several times.

Change: the store holds each data centre's sources; those list the store, the others ask them for a packed copy, one beside the other when one is silent; without any they list later, spread. A new fleet's seeds list and read for all. A source that has no copy yet holds questions instead of refusing them. Members are applied after packets are let in.

--- a/internal/direct/mechanism.go
+++ b/internal/direct/mechanism.go
@@ -26,6 +26,7 @@
 	OwnLink
 	Alarms
 	Yield
+	StartSources
 	mechanisms
 )
 
@@ -44,6 +45,7 @@
 	OwnLink:       {"own-link", "check another target to tell dark targets from a choked link"},
 	Alarms:        {"alarms", "tell peers of suspicions at once rather than with the next heartbeat"},
 	Yield:         {"yield", "hand callers to other data centres when most balancers here are lost"},
+	StartSources:  {"start-sources", "take the first copy from a few balancers of the data centre rather than from the store"},
 }
 
 // String returns the name that an operator uses.
--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -16,7 +16,8 @@
 // would be left out by their bound and hide the others of that second.
 const maxTargetLines = 50
 
-// apply puts changes of the copy in force.
+// apply puts changes of the copy in force: targets first, then the catalogue, and the
+// other balancers last, as packets wait for the first two only.
 func (c *control) apply(items []replica.Item, source string) {
 	now := c.now()
 	listing := len(items) > maxTargetLines
@@ -25,6 +26,7 @@
 	}
 	c.edge.counts.changes.Add(uint64(len(items)))
 	var catalogue *replica.Item
+	var members []replica.Item
 	for _, i := range items {
 		switch {
 		case i.Key == platform.CatalogueKey:
@@ -32,7 +34,7 @@
 		case strings.HasPrefix(i.Key, platform.TargetPrefix):
 			c.applyTarget(now, i, source, !listing)
 		case strings.HasPrefix(i.Key, platform.MemberPrefix):
-			c.applyMember(i)
+			members = append(members, i)
 		}
 	}
 	if c.replica.Loaded() {
@@ -46,6 +48,9 @@
 	if c.version > 0 {
 		c.edge.becomeReady()
 	}
+	for _, i := range members {
+		c.applyMember(i)
+	}
 }
 
 func (c *control) applyCatalogue(i replica.Item, source string) {
--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -15,12 +15,16 @@
 	"go.uber.org/zap"
 
 	"rosedale.dev/rosedale/internal/peer"
+	"rosedale.dev/rosedale/platform"
 )
 
 const (
 	// fetchTimeout bounds fetching changes from another balancer.
 	fetchTimeout = time.Second
-	changesPath  = "/changes"
+	// dialTimeout bounds connecting to it: one without power does not answer, and an
+	// opening that is lost is repeated by the kernel after a second only.
+	dialTimeout = 250 * time.Millisecond
+	changesPath = "/changes"
 	// maxChanges bounds an answer in bytes.
 	maxChanges = 16 << 20
 	// askTicks paces questions to other balancers at a start, in ticks.
@@ -35,9 +39,9 @@
 	// has answered by then if it can, and asking both costs 2 ms of a processor.
 	seedTick = 2
 	// fullNarrow and fullWide are how many balancers at once get a full copy over
-	// a narrow and a wide link. With 3,000 targets it has 57 KB, 0.05 s of a link
-	// of 10 Mbit/s; after a failure of all, 300 balancers ask three seeds every
-	// 0.1 s, which would take them 14 s a round. Those turned away read the store.
+	// a narrow and a wide link; the others wait in line, as all of a data centre do
+	// when they start at once. With 3,000 targets it has 57 KB, 0.05 s of a link of 10
+	// Mbit/s: copies that are sent side by side would all arrive last.
 	fullNarrow = 2
 	fullWide   = 16
 	// unknownHistory stands for the history of a balancer that has not told it.
@@ -68,12 +72,12 @@
 		http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	if after == 0 && !c.takeFull() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	if after == 0 {
-		defer c.fulls.Add(-1)
+		if !c.takeFull(r.Context()) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer func() { <-c.fulls }()
 	}
 	answer := make(chan *peer.Changes, 1)
 	c.post(func() { answer <- c.changes(after) })
@@ -84,18 +88,42 @@
 	}
 }
 
-// takeFull reports whether one more full copy may be sent. It is for other
-// goroutines.
-func (c *control) takeFull() bool {
-	most := int64(fullNarrow)
-	if c.edge.boot.LinkMbps >= wideLink {
-		most = fullWide
-	}
-	if c.fulls.Add(1) > most {
-		c.fulls.Add(-1)
+// takeFull waits until there is a copy here and one more may be sent, and reports
+// whether that was in time. It is for other goroutines.
+func (c *control) takeFull(ctx context.Context) bool {
+	late := time.NewTimer(copyHold)
+	defer late.Stop()
+	select {
+	case <-c.edge.packets.loaded:
+	case <-late.C:
+		return false
+	case <-ctx.Done():
 		return false
 	}
-	return true
+	select {
+	case c.fulls <- struct{}{}:
+		return true
+	case <-late.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// fullCopies returns how many full copies a balancer sends side by side.
+func fullCopies(b platform.Boot) int {
+	if b.LinkMbps >= wideLink {
+		return fullWide
+	}
+	return fullNarrow
+}
+
+func newFetchClient() *http.Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{
+		Timeout:   fetchTimeout,
+		Transport: &http.Transport{DialContext: d.DialContext, DisableCompression: true, IdleConnTimeout: time.Minute},
+	}
 }
 
 func (c *control) writeChanges(w http.ResponseWriter, ch *peer.Changes) {
@@ -143,7 +171,10 @@
 	asked := c.now()
 	go func() {
 		ch, err := c.fetchFromPeer(ctx, from, after)
-		c.post(func() { c.fetched(ch, asked, from, err) })
+		c.post(func() {
+			c.fetchBusy = false
+			c.fetched(ch, asked, from, err)
+		})
 	}()
 }
 
@@ -170,7 +201,6 @@
 }
 
 func (c *control) fetched(ch *peer.Changes, asked time.Duration, from netip.AddrPort, err error) {
-	c.fetchBusy = false
 	if err != nil {
 		c.edge.counts.fetchFailures.Add(1)
 		c.log.Warn("changes not fetched", zap.Stringer("peer", from), zap.Error(err))
@@ -185,7 +215,7 @@
 	proven := asked - ch.Age
 	if ch.Full {
 		c.apply(c.replica.Replace(items, ch.Position, proven), from.String())
-		c.stopFirstRead()
+		c.firstCopyIsThere(from.String())
 		return
 	}
 	c.applyChanges(c.replica.Merge(items, ch.Position, proven), from.String(), asked)
@@ -208,6 +238,9 @@
 	if c.replica.Loaded() && (c.replica.Age(now) < oldCopy || c.reader.Succeeding()) {
 		return
 	}
+	if !c.replica.Loaded() && c.first.HasSources() && !c.first.MayList(now) {
+		return // these know more than the seeds, which may start themselves
+	}
 	others := slices.Concat(c.edge.boot.Seeds, c.fleet.Near(), c.fleet.Far())
 	others = slices.DeleteFunc(others, func(a netip.AddrPort) bool { return a == c.edge.boot.Control })
 	if len(others) == 0 {
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,21 +37,24 @@
 	events chan func()
 	look   chan struct{} // a target has become suspicious
 
-	replica  *replica.Replica
-	packer   peer.Packer
-	stopRead context.CancelFunc // of the first read, while it runs
-	reader   replica.Reader
-	fleet    *peer.Fleet
-	peers    map[string]*neighbour // by name
+	replica   *replica.Replica
+	packer    peer.Packer
+	firstCtx  context.Context // of all that asks for the first copy
+	stopFirst context.CancelFunc
+	reader    replica.Reader
+	fleet     *peer.Fleet
+	peers     map[string]*neighbour // by name
 	// unregistered are the keys of members without a registration that are heard.
 	unregistered map[string]bool
 	readAt       time.Duration // when the next read of the store is due
 	readBusy     bool
 	readDone     time.Duration
 	fetchBusy    bool
-	askTurn      int          // which balancer to ask next
-	fulls        atomic.Int64 // full copies being sent
-	version      int64        // of the catalogue in force
+	askTurn      int           // which balancer to ask next
+	fulls        chan struct{} // holds one for each full copy that is being sent
+	first        *replica.FirstCopy
+	sourcesTold  time.Duration // when this balancer last wrote them; see tellSourcesIfDue
+	version      int64         // of the catalogue in force
 	lease        lease
 	leaving      bool
 	alarmDue     bool          // a suspicion is to be told
@@ -78,12 +81,14 @@
 		store:   platform.NewStore(e.boot.Store),
 		checker: platform.NewChecker(),
 		udp:     udp,
-		fetch:   &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: time.Minute}},
+		fetch:   newFetchClient(),
 		events:  make(chan func(), eventQueue),
 		look:    make(chan struct{}, 1),
 		replica: replica.New(platform.Significant),
 		fleet:   peer.NewFleet(e.member()),
 		peers:   map[string]*neighbour{},
+		fulls:   make(chan struct{}, fullCopies(e.boot)),
+		first:   replica.NewFirstCopy(e.boot.Control, rand.Float64()),
 
 		unregistered: map[string]bool{},
 	}
@@ -111,6 +116,9 @@
 
 func (c *control) run(ctx context.Context) {
 	go c.receive()
+	c.firstCtx, c.stopFirst = context.WithCancel(ctx)
+	defer c.stopFirst()
+	go c.lookUpSources(c.firstCtx)
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	c.tick(ctx)
@@ -155,6 +163,7 @@
 	c.yieldIfOutnumbered(now)
 	if c.ticks%lossTicks == 0 {
 		c.forgetUnregistered()
+		c.tellSourcesIfDue(ctx, now)
 		c.log.reportLost()
 	}
 	c.alarmIfDue(now)
--- /dev/null
+++ b/internal/edge/first_test.go
@@ -0,0 +1,83 @@
+package edge
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"rosedale.dev/rosedale/internal/peer"
+	"rosedale.dev/rosedale/platform"
+)
+
+// tellSources writes the sources as the first balancer in rank does after a while.
+func (d *deployment) tellSources(size int, sources ...*running) {
+	d.t.Helper()
+	s := peer.Sources{Size: size}
+	for _, b := range sources {
+		s.Balancers = append(s.Balancers, b.boot.Control)
+	}
+	v, err := peer.Encode(s)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.store.PutRaw(platform.SourcesPrefix+"a", v)
+}
+
+// All VMs of a data centre start at once, and every listing of the store makes the
+// others wait. One that starts with sources there must not list the store, and still be
+// ready, registered and served.
+func TestSourcesHandOutFirstCopies(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 2)
+	d.tellSources(3, d.balancers...)
+	before := d.store.Listings()
+	b := d.start(address(d.net, balancerNet, 10))
+	d.eventually(3*time.Second, "the new balancer is ready", b.isReady)
+	d.mustAsk(b, previews)
+	d.eventually(3*time.Second, "the new balancer is registered", func() bool { return len(d.store.Keys(b.registration())) == 1 })
+	if n := d.store.Listings() - before; n != 0 {
+		t.Errorf("%d listings of the store", n)
+	}
+	if log := b.out.String(); !strings.Contains(log, `"msg":"first copy"`) {
+		t.Errorf("the log does not say where the copy came from:\n%s", log)
+	}
+}
+
+// The sources that the store tells are gone. A VM that starts must list the store itself
+// after a moment.
+func TestStartsWithoutItsSources(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	gone := &running{}
+	gone.boot.Control = d.balancers[0].boot.Control
+	d.balancers[0].end(t)
+	d.tellSources(3, gone)
+	b := d.start(address(d.net, balancerNet, 10))
+	d.eventually(3*time.Second, "the new balancer is ready", b.isReady)
+	d.mustAsk(b, previews)
+	if d.store.Listings() == 0 {
+		t.Error("nobody listed the store")
+	}
+}
+
+// The first balancer in rank writes the sources once those that started with it have
+// registered, and nobody writes them again while they stay the same.
+func TestSourcesAreTold(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 3)
+	read := func() (peer.Sources, error) {
+		return peer.DecodeSources(d.store.Value(platform.SourcesPrefix + "a"))
+	}
+	d.eventually(sourcesPause+3*time.Second, "sources are told", func() bool {
+		s, err := read()
+		return err == nil && s.Size == 3
+	})
+	s, err := read()
+	if err != nil || len(s.Balancers) != 3 || s.Balancers[0] != d.balancers[0].boot.Control {
+		t.Errorf("sources %v, %v", s, err)
+	}
+	time.Sleep(2 * time.Second)
+	if n := d.store.Writes(platform.SourcesPrefix + "a"); n != 1 {
+		t.Errorf("written %d times", n)
+	}
+}
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -25,14 +25,18 @@
 	if c.readBusy || now < c.readAt || c.leaving {
 		return
 	}
-	if c.replica.Loaded() && !c.reader.Decide(replica.Place{Centre: c.fleet.Centre(), Rank: c.fleet.Rank()}, c.replica.Age(now), c.served(now)) {
+	if !c.replica.Loaded() && !c.first.MayList(now) {
+		return
+	}
+	place := c.first.Place(now, replica.Place{Centre: c.fleet.Centre(), Rank: c.fleet.Rank()})
+	if c.replica.Loaded() && !c.reader.Decide(place, c.replica.Age(now), c.served(now)) {
 		return
 	}
 	full := !c.replica.Loaded()
 	c.readBusy = true
 	position := c.replica.Position()
 	if full {
-		ctx, c.stopRead = context.WithCancel(ctx)
+		ctx = c.firstCtx
 	}
 	go func() {
 		l := c.read(ctx, now, position, full)
@@ -44,17 +48,19 @@
 // read in 30 ms. VMs with such a link read the store for the others.
 const wideLink = 100
 
-// stopFirstRead ends the first read once a peer was faster.
+// firstCopyIsThere ends what still asks for the first copy once there is one.
 //
 // Failure: after a failure of all, VMs with 10 Mbit/s read a catalogue of 0.4 MB
 // for 0.3 s and more, while openings wait. It shows as late answers long after
-// the VMs are back. Balancers ask their seeds a tick later: what these pass on is
-// a tenth as long, and the rest of the first read would only fill the link.
-func (c *control) stopFirstRead() {
-	if c.stopRead != nil {
-		c.stopRead()
-		c.stopRead = nil
+// the VMs are back. What peers pass on is a tenth as long, and the rest of a first
+// listing would only fill the link.
+func (c *control) firstCopyIsThere(source string) {
+	if !c.replica.Loaded() || c.firstCtx.Err() != nil {
+		return
 	}
+	c.stopFirst()
+	now := c.now()
+	c.log.Info("first copy", zap.String("source", source), zap.Duration("after", now), zap.Int64("position", c.replica.Position()), zap.Duration("age", c.replica.Age(now)))
 }
 
 // read runs on a goroutine of its own.
@@ -74,7 +80,6 @@
 func (c *control) readEnded(l listing) {
 	now := c.now()
 	c.readBusy = false
-	c.stopFirstRead()
 	if l.full && l.err != nil && c.replica.Loaded() {
 		return // a peer was faster
 	}
@@ -87,6 +92,7 @@
 	c.readDone = now
 	if l.full {
 		c.apply(c.replica.Replace(l.items, l.position, l.asked), "store")
+		c.firstCopyIsThere("store")
 		return
 	}
 	c.applyChanges(c.replica.Apply(l.items, l.position, l.asked), "store", l.asked)
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -98,6 +98,13 @@
 	return f.speakers
 }
 
+// Sources returns the sources of the own data centre: the first ones in rank.
+func (f *Fleet) Sources() Sources {
+	f.update()
+	all := slices.Insert(slices.Clone(f.near), f.rank, f.self.Control)
+	return Sources{Balancers: all[:min(len(all), MaxSources)], Size: len(all)}
+}
+
 // update derives all lists from the registrations if these have changed. A
 // listing brings hundreds of them, whose order is only needed in the end.
 func (f *Fleet) update() {
--- /dev/null
+++ b/internal/peer/sources_test.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+)
+
+func TestSourcesAreTheFirstInRank(t *testing.T) {
+	var all []Member
+	for i, wide := range []bool{false, false, true, false, true} {
+		m := member(string(rune('a'+i)), "x", wide)
+		m.Control = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
+		all = append(all, m)
+	}
+	all = append(all, member("far", "y", true))
+	want := []netip.AddrPort{all[2].Control, all[4].Control, all[0].Control}
+	for _, self := range all[:5] {
+		if s := fleetOf(self, all...).Sources(); !slices.Equal(s.Balancers, want) || s.Size != 5 {
+			t.Errorf("%s: sources %v of %d, want %v of 5", self.VM, s.Balancers, s.Size, want)
+		}
+	}
+	if s := NewFleet(all[0]).Sources(); len(s.Balancers) != 1 || s.Size != 1 {
+		t.Errorf("alone: %v of %d", s.Balancers, s.Size)
+	}
+}
+
+func TestSourcesAreWrittenOnlyIfTheyChange(t *testing.T) {
+	a, b := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+	now := Sources{[]netip.AddrPort{a, b}, 60}
+	for _, c := range []struct {
+		old  Sources
+		does bool
+	}{
+		{now, true},
+		{Sources{[]netip.AddrPort{a, b}, 50}, true},
+		{Sources{[]netip.AddrPort{a, b}, 30}, false},
+		{Sources{[]netip.AddrPort{a, b}, 90}, false},
+		{Sources{[]netip.AddrPort{b, a}, 60}, false},
+		{Sources{}, false},
+	} {
+		if c.old.Serves(now) != c.does {
+			t.Errorf("%v serves for %v: %v", c.old, now, !c.does)
+		}
+	}
+}
+
+// Another program wrote the record: a balancer that starts must not wait for sources
+// that do not exist.
+func TestUnusableSources(t *testing.T) {
+	good, err := Encode(Sources{[]netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}, 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := DecodeSources(good); err != nil {
+		t.Error(err)
+	}
+	for _, bad := range []Sources{{}, {Balancers: []netip.AddrPort{{}}, Size: 1}, {Balancers: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}}} {
+		b, err := Encode(bad)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s, err := DecodeSources(b); err == nil {
+			t.Errorf("%v is taken", s)
+		}
+	}
+	if _, err := DecodeSources([]byte("no CBOR")); err == nil {
+		t.Error("rubbish is taken")
+	}
+}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -45,6 +45,9 @@
 	Rank   int // balancers of the own data centre that come first
 }
 
+// LastPlace comes after all others.
+var LastPlace = Place{Centre: lastCentre, Rank: lastRank}
+
 // Decide returns whether to read now. age is the copy's, and served tells
 // whether a balancer that comes before this one reads the store with success.
 //
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -265,6 +265,12 @@
 	return out, true
 }
 
+// Get returns an item that exists.
+func (r *Replica) Get(key string) (Item, bool) {
+	i, ok := r.items[key]
+	return i, ok && !i.Deleted
+}
+
 // All returns all items that exist.
 func (r *Replica) All() []Item {
 	out := make([]Item, 0, len(r.items))
--- a/internal/standin/direct/calls.go
+++ b/internal/standin/direct/calls.go
@@ -25,6 +25,7 @@
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lists++
 	keys := s.keys(r.URL.Query().Get("prefix"), r.URL.Query().Get("after"))
 	out := struct {
 		Items []item `json:"items"`
--- a/internal/standin/direct/store.go
+++ b/internal/standin/direct/store.go
@@ -52,6 +52,7 @@
 	next   int64
 	fault  func(client netip.Addr) Fault
 	calls  int
+	lists  int // calls that list keys
 	wake   chan struct{}
 	srv    *http.Server
 }
@@ -102,6 +103,33 @@
 	return s.calls
 }
 
+// Listings returns how many of them listed keys.
+func (s *Store) Listings() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists
+}
+
+// Value returns a key's value, or nil.
+func (s *Store) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
+// Writes returns how often a key was written.
+func (s *Store) Writes(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, e := range s.events {
+		if e.Key == key && !e.Deleted {
+			n++
+		}
+	}
+	return n
+}
+
 // Forget drops the history of changes.
 func (s *Store) Forget() {
 	s.mu.Lock()
