--- a/internal/standin/caller/main.go
+++ b/internal/standin/caller/main.go
@@ -153,14 +153,21 @@
 	wg.Wait()
 }
 
+// executionsTimeout bounds asking a target what it ran: it answers from memory.
+const executionsTimeout = 5 * time.Second
+
 // executions asks the targets what they ran.
+//
+// Failure: a target's process stands still. It shows as a run that never ends, and
+// whose result is lost with it.
 func executions(targets string) (map[string][]string, error) {
 	all := map[string][]string{}
+	client := &http.Client{Timeout: executionsTimeout}
 	for _, t := range strings.Split(targets, ",") {
 		if t == "" {
 			continue
 		}
-		resp, err := http.Get("http://" + t + "/executions")
+		resp, err := client.Get("http://" + t + "/executions")
 		if err != nil {
 			return nil, errors.Wrapf(err, "caller: executions of %s", t)
 		}
--- a/internal/standin/caller/stream.go
+++ b/internal/standin/caller/stream.go
@@ -64,7 +64,9 @@
 	if err != nil {
 		return err
 	}
-	_ = c.SetReadDeadline(time.Now().Add(frameTimeout))
+	if !patient(ctx, c) {
+		return nil
+	}
 	br := bufio.NewReader(c)
 	resp, err := http.ReadResponse(br, req)
 	if err != nil {
@@ -82,10 +84,9 @@
 		if err := l.check(f, s, nonce, first, seq); err != nil {
 			return err
 		}
-		if ctx.Err() != nil {
+		if !patient(ctx, c) {
 			return nil
 		}
-		_ = c.SetReadDeadline(time.Now().Add(frameTimeout))
 	}
 	if err := lines.Err(); err != nil {
 		return errors.Wrap(err, "frame")
@@ -93,6 +94,16 @@
 	return errors.New("stream ended")
 }
 
+// patient has the next read wait for a frame, and reports whether the run goes on.
+//
+// Failure: the run ends, which lets reads fail at once, just before a read's own deadline
+// is set. It shows as a caller that waits for a silent stream for 20 s more. So the run is
+// looked at after the deadline was set.
+func patient(ctx context.Context, c net.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(frameTimeout))
+	return ctx.Err() == nil
+}
+
 // ask sends the request for a stream. With chatter its body never ends.
 func (l *load) ask(ctx context.Context, c net.Conn, url string) (*http.Request, error) {
 	if !l.opt.chatter {
