--- a/internal/edge/sources.go
+++ b/internal/edge/sources.go
@@ -22,8 +22,8 @@
 	sourcesPause = 5 * time.Second
 )
 
-// lookUpSources asks the store who hands out copies in this data centre. It runs on a
-// goroutine of its own.
+// lookUpSources asks the store who hands out copies in this data centre, and has the
+// first copy taken from there or from the store. It runs on a goroutine of its own.
 func (c *control) lookUpSources(ctx context.Context) {
 	var s peer.Sources
 	var err error
@@ -65,6 +65,7 @@
 	time.AfterFunc(c.first.Pause(), func() { c.post(func() { c.askSources(ctx) }) })
 }
 
+// askSource asks the next source, if one is to be asked.
 func (c *control) askSource(ctx context.Context) {
 	from, ok := c.first.Ask()
 	if !ok {
@@ -77,6 +78,7 @@
 	}()
 }
 
+// sourceAnswered takes a source's answer. If that is no copy, another one is asked.
 func (c *control) sourceAnswered(ctx context.Context, ch *peer.Changes, asked time.Duration, from netip.AddrPort, err error) {
 	if c.replica.Loaded() {
 		return // another one was faster
@@ -102,8 +104,11 @@
 	}
 	c.sourcesTold = now
 	go func() {
-		err := c.writeSources(ctx, key, want)
-		c.log.Info("sources told", zap.Int("size", want.Size), zap.Stringers("balancers", want.Balancers), zap.Error(err))
+		if err := c.writeSources(ctx, key, want); err != nil {
+			c.log.Warn("sources not told", zap.Int("size", want.Size), zap.Error(err))
+			return
+		}
+		c.log.Info("sources told", zap.Int("size", want.Size), zap.Stringers("balancers", want.Balancers))
 	}()
 }
 
