TestEntryOfAnotherWriter: the open flow ends before the mended entry is asked for

The test held a flow at the target; once the callers' requests take long, an open flow weighs more than the width of a tie (0.02), and all openings go to the idle target, as they should.

--- a/internal/edge/restart_test.go
+++ b/internal/edge/restart_test.go
@@ -119,6 +119,7 @@
 	if n := len(b.lines(t, "target's key is not usable")); n != 1 {
 		t.Errorf("%d log lines for a key that is none, want 1", n)
 	}
+	fl.Close() // an idle target goes before one that holds a flow
 	x.Register()
 	d.eventually(2*time.Second, "the mended entry is used", func() bool { return d.mustAsk(b, previews) == x.Name() })
 }
