--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,6 +50,7 @@
 	unregistered map[string]bool
 	readAt       time.Duration // when the next read of the store is due
 	readBusy     bool
+	era          atomic.Int64 // of the store, as it told last
 	readDone     time.Duration
 	fetchBusy    bool
 	askTurn      int           // which balancer to ask next
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -16,6 +16,7 @@
 	}
 	m.Gauge("flows", func() float64 { return float64(e.flows()) })
 	m.Gauge("copy_age_seconds", func() float64 { return (e.now() - time.Duration(e.proven.Load())).Seconds() })
+	m.Gauge("store_era", func() float64 { return float64(e.control.era.Load()) })
 	n := &e.counts
 	m.Counter("socket_read_errors", n.readErrors.Load)
 	m.Counter("socket_send_errors", n.sendErrors.Load)
@@ -25,6 +26,7 @@
 	m.Counter("items_unusable", n.badItems.Load)
 	m.Counter("store_calls", e.control.store.Calls.Load)
 	m.Counter("store_read_failures", n.readFailures.Load)
+	m.Counter("listings_outdated", n.listingsOutdated.Load)
 	m.Counter("peer_fetch_failures", n.fetchFailures.Load)
 	m.Counter("copies_sent", n.copiesSent.Load)
 	m.Counter("copies_refused", n.copiesRefused.Load)
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"rosedale.dev/rosedale/internal/replica"
+	"rosedale.dev/rosedale/internal/revision"
 	"rosedale.dev/rosedale/platform"
 )
 
@@ -15,7 +16,7 @@
 type listing struct {
 	full     bool
 	items    []replica.Item
-	position int64
+	position revision.Revision
 	asked    time.Duration // when the read began: the copy is at least so new
 	err      error
 }
@@ -70,7 +71,7 @@
 func (c *control) read(ctx context.Context, now time.Duration, position int64, full bool) listing {
 	l := listing{asked: now, full: full}
 	if !full {
-		l.items, l.position, l.err = c.store.Watch(ctx, position, 0)
+		l.items, l.position, l.err = c.store.Watch(ctx, revision.Revision{Number: position}, 0)
 		if !errors.Is(l.err, platform.ErrCompacted) {
 			return l
 		}
@@ -87,18 +88,24 @@
 		return // a peer was faster
 	}
 	c.readAt = max(l.asked, now-replica.ReadInterval) + c.reader.Done(l.err == nil)
-	c.dependency(l.err)
+	c.dependency(l)
 	if l.err != nil {
 		c.edge.counts.readFailures.Add(1)
 		return
 	}
 	c.readDone = now
+	c.era.Store(l.position.Era)
 	if l.full {
-		c.apply(c.replica.Replace(l.items, l.position, l.asked), "store")
+		if l.position.Number < c.replica.Position() {
+			c.edge.counts.listingsOutdated.Add(1)
+			c.log.Warn("listing of the store is older than the copy and changes nothing", zap.Stringer("listing", l.position),
+				zap.Int64("copy", c.replica.Position()), zap.Int("items", len(l.items)))
+		}
+		c.apply(c.replica.Replace(l.items, l.position.Number, l.asked), "store")
 		c.firstCopyIsThere("store")
 		return
 	}
-	c.applyChanges(c.replica.Apply(l.items, l.position, l.asked), "store", l.asked)
+	c.applyChanges(c.replica.Apply(l.items, l.position.Number, l.asked), "store", l.asked)
 }
 
 // applyChanges puts news in force and measures how long that took since it was
@@ -111,13 +118,14 @@
 }
 
 // dependency logs when the store is lost and when it is back.
-func (c *control) dependency(err error) {
-	if lost := err != nil; lost != c.storeLost {
+func (c *control) dependency(l listing) {
+	if lost := l.err != nil; lost != c.storeLost {
 		c.storeLost = lost
 		if lost {
-			c.log.Warn("store lost", zap.Duration("age", c.replica.Age(c.now())), zap.Error(err))
+			c.log.Warn("store lost", zap.Duration("age", c.replica.Age(c.now())), zap.Error(l.err))
 		} else {
-			c.log.Info("store regained", zap.Duration("age", c.replica.Age(c.now())))
+			c.log.Info("store regained", zap.Duration("age", c.replica.Age(c.now())), zap.Stringer("position", l.position),
+				zap.Int64("copy", c.replica.Position()), zap.Bool("listed", l.full))
 		}
 	}
 }
--- a/internal/standin/direct/store.go
+++ b/internal/standin/direct/store.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -54,6 +55,7 @@
 	calls  int
 	lists  int  // calls that list keys
 	noList bool // these are refused
+	era    int64
 	wake   chan struct{}
 	srv    *http.Server
 }
@@ -70,6 +72,7 @@
 		leases: map[int64]time.Time{},
 		fault:  func(netip.Addr) Fault { return Healthy },
 		wake:   make(chan struct{}),
+		era:    1,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.key)
@@ -218,6 +221,7 @@
 		client := netip.MustParseAddrPort(r.RemoteAddr).Addr()
 		s.mu.Lock()
 		s.calls++
+		tell(w, s.era)
 		x := s.fault(client)
 		s.expire()
 		s.mu.Unlock()
@@ -239,6 +243,9 @@
 	})
 }
 
+// tell writes the store's era into an answer's head.
+func tell(w http.ResponseWriter, era int64) { w.Header().Set("Store-Era", strconv.FormatInt(era, 10)) }
+
 // discard is a ResponseWriter whose answer is lost.
 type discard struct{}
 
