--- a/cmd/rosedale/edge.go
+++ b/cmd/rosedale/edge.go
@@ -12,6 +12,7 @@
 
 	"rosedale.dev/rosedale/internal/edge"
 	"rosedale.dev/rosedale/internal/operator"
+	"rosedale.dev/rosedale/internal/revision"
 )
 
 // edge is the group of commands for balancers whose targets answer callers
@@ -53,7 +54,7 @@
 					continue
 				}
 				x := s.Status
-				t.row(x.VM, x.DataCenter, x.Ready, x.Reading, x.Version, x.Position, age(x), reach(x.StoreLost), x.Flows, len(x.Peers), "")
+				t.row(x.VM, x.DataCenter, x.Ready, x.Reading, x.Version, revision.Revision{Era: x.Era, Number: x.Position}, age(x), reach(x.StoreLost), x.Flows, len(x.Peers), "")
 			}
 			return a.print(t, all)
 		},
@@ -126,7 +127,7 @@
 					continue
 				}
 				for _, x := range s.Status.Evacuated {
-					t.row(x.DataCenter, s.Status.VM, x.Revision, x.Since.Round(time.Millisecond), x.Flows, x.Busy, "")
+					t.row(x.DataCenter, s.Status.VM, revision.Revision{Era: x.Era, Number: x.Revision}, x.Since.Round(time.Millisecond), x.Flows, x.Busy, "")
 				}
 			}
 			return a.print(t, all)
--- a/internal/direct/cold_test.go
+++ b/internal/direct/cold_test.go
@@ -69,7 +69,7 @@
 // with their next heartbeat: until then all callers near by would turn to them.
 func TestTakenBackTargetsAreCold(t *testing.T) {
 	b := coldFixture(t, target1(1, "a"), target1(2, "b"))
-	b.f.Evacuate(b.now, "a", 7)
+	b.f.Evacuate(b.now, "a", rev(7))
 	b.now += 8 * time.Second
 	b.f.TakeBack(b.now, "a")
 	got := map[TargetID]int{}
--- a/internal/direct/evacuation.go
+++ b/internal/direct/evacuation.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"rosedale.dev/rosedale/internal/revision"
 )
 
 // centre is a data centre with targets, or one that is evacuated.
@@ -14,8 +16,8 @@
 
 // evacuation is an operator's request that a data centre gets no new flows.
 type evacuation struct {
-	revision int64 // of the store, when it was asked for last
-	since    time.Duration
+	asked revision.Revision // of the store, when it was asked for last
+	since time.Duration
 }
 
 // centreOf returns a data centre by its name.
@@ -34,12 +36,12 @@
 //
 // If nothing else is left, callers are refused at once: an operator who evacuates a data
 // centre may cut its power next, and a request that must not run twice is lost there.
-func (f *Forwarder) Evacuate(now time.Duration, dataCenter string, revision int64) {
+func (f *Forwarder) Evacuate(now time.Duration, dataCenter string, asked revision.Revision) {
 	c := f.centreOf(dataCenter)
 	if c.evacuation == nil {
 		c.evacuation = &evacuation{since: now}
 	}
-	c.evacuation.revision = revision
+	c.evacuation.asked = asked
 }
 
 // TakeBack ends an evacuation.
@@ -79,7 +81,8 @@
 // EvacuationInfo is an evacuation as one balancer knows it.
 type EvacuationInfo struct {
 	DataCenter string        `json:"data_center"`
-	Revision   int64         `json:"revision"` // of the store, when it was asked for last
+	Era        int64         `json:"era"`      // of the store, when it was asked for last
+	Revision   int64         `json:"revision"` // the same
 	Since      time.Duration `json:"since"`    // how long ago this balancer learnt of it
 	Flows      int           `json:"flows"`    // open there that pass this balancer
 	Busy       int           `json:"busy"`     // requests under way there that pass it
@@ -92,7 +95,7 @@
 		if c.evacuation == nil {
 			continue
 		}
-		i := EvacuationInfo{DataCenter: c.name, Revision: c.evacuation.revision, Since: now - c.evacuation.since}
+		i := EvacuationInfo{DataCenter: c.name, Era: c.evacuation.asked.Era, Revision: c.evacuation.asked.Number, Since: now - c.evacuation.since}
 		for _, t := range f.targets {
 			if t.centre == c {
 				i.Flows += t.flows
--- a/internal/direct/evacuation_test.go
+++ b/internal/direct/evacuation_test.go
@@ -11,7 +11,7 @@
 func TestEvacuatedDataCentreGetsNoOpenings(t *testing.T) {
 	b := newFixture(t, target1(1, "a"), target1(2, "a"), target1(3, "b"), target1(4, "c"))
 	home := b.open(1000, streams)
-	b.f.Evacuate(b.now, "a", 7)
+	b.f.Evacuate(b.now, "a", rev(7))
 	got := map[TargetID]int{}
 	for port := uint16(2000); port < 2100; port++ {
 		got[b.open(port, streams)]++
@@ -32,7 +32,7 @@
 // evacuated one looks idle, but gets none of its flows.
 func TestFlowsDoNotSpillToAnEvacuatedDataCentre(t *testing.T) {
 	b := newFixture(t, target1(1, "a"), target1(3, "b"))
-	b.f.Evacuate(b.now, "b", 7)
+	b.f.Evacuate(b.now, "b", rev(7))
 	for port := uint16(2000); port < 2020; port++ {
 		if d := b.handle(packet(port, streams, SYN, 0)); d.Target == nil || d.Target.ID != 1 {
 			t.Fatalf("opening %d: %v", port, d.Reason)
@@ -46,7 +46,7 @@
 func TestRepeatedOpeningLeavesAnEvacuatedDataCentre(t *testing.T) {
 	b := newFixture(t, target1(1, "a"))
 	b.want(b.handle(packet(2000, streams, SYN, 0)), OpenedNear)
-	b.f.Evacuate(b.now, "a", 7)
+	b.f.Evacuate(b.now, "a", rev(7))
 	b.now += 200 * time.Millisecond
 	b.want(b.handle(packet(2000, streams, SYN, 0)), ResetEvacuated)
 }
@@ -58,7 +58,7 @@
 	leaves := target1(2, "b")
 	leaves.Draining = true
 	b := newFixture(t, target1(1, "a"), leaves)
-	b.f.Evacuate(b.now, "a", 7)
+	b.f.Evacuate(b.now, "a", rev(7))
 	b.now += lateDrain
 	b.want(b.handle(packet(2000, streams, SYN, 0)), ResetEvacuated)
 	b.f.RemoveTarget(b.now, 1)
@@ -71,9 +71,9 @@
 // until its first target registers itself. Each counts by itself.
 func TestEvacuationsOverlap(t *testing.T) {
 	b := newFixture(t, target1(1, "a"), target1(2, "b"))
-	b.f.Evacuate(b.now, "a", 7)
-	b.f.Evacuate(b.now, "nowhere", 8)
-	b.f.Evacuate(b.now, "b", 9)
+	b.f.Evacuate(b.now, "a", rev(7))
+	b.f.Evacuate(b.now, "nowhere", rev(8))
+	b.f.Evacuate(b.now, "b", rev(9))
 	b.want(b.handle(packet(2000, streams, SYN, 0)), ResetEvacuated)
 	b.f.PutTarget(b.now, target1(3, "nowhere"))
 	b.want(b.handle(packet(2001, streams, SYN, 0)), ResetEvacuated)
@@ -91,10 +91,10 @@
 	b := newFixture(t, target1(1, "a"), target1(2, "b"))
 	id := b.open(1000, streams)
 	b.ask(1000, streams, id, 101, 1000)
-	b.f.Evacuate(b.now, "a", 7)
-	b.f.Evacuate(b.now, "b", 8)
+	b.f.Evacuate(b.now, "a", rev(7))
+	b.f.Evacuate(b.now, "b", rev(8))
 	b.now += 3 * time.Second
-	b.f.Evacuate(b.now, "b", 9) // written again
+	b.f.Evacuate(b.now, "b", rev(9)) // written again
 	got := b.f.Evacuations(b.now)
 	want := []EvacuationInfo{
 		{DataCenter: "a", Revision: 7, Since: 3 * time.Second, Flows: 1, Busy: 1},
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"rosedale.dev/rosedale/internal/revision"
 )
 
 // fixture holds a Forwarder and the clock of a test.
@@ -83,3 +85,6 @@
 
 // state returns what the forwarder knows of a target.
 func (b *fixture) state(id TargetID) *target { return b.f.targets[id] }
+
+// rev is a revision of a store that tells no era.
+func rev(number int64) revision.Revision { return revision.Revision{Number: number} }
--- a/internal/direct/modelrestart_test.go
+++ b/internal/direct/modelrestart_test.go
@@ -20,7 +20,7 @@
 	m.crash(x)
 	x.down = false
 	m.revision++
-	x.Revision = m.revision
+	x.Revision = rev(m.revision)
 	x.Draining = false
 	x.Born = Born{Told: true, Millis: (m.now + time.Duration(step)*time.Millisecond).Milliseconds()}
 }
--- a/internal/direct/news.go
+++ b/internal/direct/news.go
@@ -55,7 +55,7 @@
 	case x == nil:
 		x = f.enter(now, t)
 		f.claim(x)
-	case t.Revision < x.Revision:
+	case t.Revision.Before(x.Revision):
 		return nil
 	case t.Born != x.Born:
 		x, lost = f.restart(now, x, t)
--- a/internal/direct/restart.go
+++ b/internal/direct/restart.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"rosedale.dev/rosedale/internal/revision"
 )
 
 // startMargin is how long a target may serve before its first registration is in the
@@ -87,7 +89,7 @@
 // Failure: a target starts again, and peers that have not heard of it go on telling
 // what its older start held and failed. It shows as a new start that gets no callers
 // for a second or more.
-func (f *Forwarder) SameStart(id TargetID, position int64) bool {
+func (f *Forwarder) SameStart(id TargetID, position revision.Revision) bool {
 	t := f.targets[id]
-	return t != nil && position >= t.since
+	return t != nil && !position.Before(t.since)
 }
--- a/internal/direct/restart_test.go
+++ b/internal/direct/restart_test.go
@@ -6,10 +6,10 @@
 )
 
 // started returns a start of a target as registered at a revision.
-func started(id TargetID, millis, revision int64) Target {
+func started(id TargetID, millis, number int64) Target {
 	x := target1(id, "a")
 	x.Born = Born{Told: true, Millis: millis}
-	x.Revision = revision
+	x.Revision = rev(number)
 	return x
 }
 
@@ -134,7 +134,7 @@
 	if b.f.checking != 0 {
 		t.Errorf("%d checks under way, want none", b.f.checking)
 	}
-	if b.f.SameStart(1, 19) || !b.f.SameStart(1, 20) {
+	if b.f.SameStart(1, rev(19)) || !b.f.SameStart(1, rev(20)) {
 		t.Error("a peer whose copy ends before the restart speaks of the older start")
 	}
 }
@@ -180,7 +180,7 @@
 func TestStartThatIsNotTold(t *testing.T) {
 	b := older(t)
 	plain := target1(1, "a")
-	plain.Revision = 20
+	plain.Revision = rev(20)
 	if lost := b.f.PutTarget(b.now, plain); len(lost) != 0 {
 		t.Errorf("%d flows were reset", len(lost))
 	}
--- a/internal/direct/spill_test.go
+++ b/internal/direct/spill_test.go
@@ -96,7 +96,7 @@
 // A data centre to which openings went is cut off, or evacuated: none may follow.
 func TestSpillLeavesCutAndEvacuatedDataCentres(t *testing.T) {
 	x := steered(t, 4, 1, 1)
-	x.f.Evacuate(x.now, "b", 7)
+	x.f.Evacuate(x.now, "b", rev(7))
 	for range 8 {
 		x.state(3).group.pace.add(x.now, paceSilent)
 	}
@@ -120,7 +120,7 @@
 // room, not all to one.
 func TestAwayByRoom(t *testing.T) {
 	x := steered(t, 1, 1, 3)
-	x.f.Evacuate(x.now, "a", 7)
+	x.f.Evacuate(x.now, "a", rev(7))
 	got := map[TargetID]int{}
 	for port := uint16(2000); port < 2400; port++ {
 		got[x.handle(packet(port, streams, SYN, 0)).Target.ID]++
--- a/internal/direct/target.go
+++ b/internal/direct/target.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"strconv"
 	"time"
+
+	"rosedale.dev/rosedale/internal/revision"
 )
 
 // TargetID identifies a target. One that starts again may keep it; see Start.
@@ -43,7 +45,7 @@
 type Target struct {
 	ID         TargetID
 	Born       Born
-	Revision   int64 // of the store, when the registration was written
+	Revision   revision.Revision // of the store, when the registration was written
 	Service    string
 	Addr       netip.AddrPort
 	DataCenter string
@@ -61,7 +63,7 @@
 // changes.
 func (t Target) Same(o Target) bool {
 	t.ColdLeft, o.ColdLeft = 0, 0
-	t.Revision, o.Revision = 0, 0
+	t.Revision, o.Revision = revision.Revision{}, revision.Revision{}
 	return t == o
 }
 
--- a/internal/direct/targetstate.go
+++ b/internal/direct/targetstate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rosedale.dev/rosedale/internal/revision"
 	"rosedale.dev/rosedale/internal/slowstart"
 )
 
@@ -12,15 +13,15 @@
 	centre     *centre // where it is; follows DataCenter
 	group      *group  // those of its service there
 	coldUntil  time.Duration
-	limit      slowstart.Limit // of openings while it is cold
-	limitFleet int             // the fleet that the limit is of
-	drainSince time.Duration   // when it was heard to drain
-	departed   bool            // its registration was removed
-	left       bool            // after it had said that it would leave
-	endedAt    time.Duration   // when it was found dead or its registration went
-	shadowed   bool            // an older target has the same cookie
-	since      int64           // revision at which its start was learnt, if an earlier one was known
-	unusable   bool            // its registration has become unusable; see DisableTarget
+	limit      slowstart.Limit   // of openings while it is cold
+	limitFleet int               // the fleet that the limit is of
+	drainSince time.Duration     // when it was heard to drain
+	departed   bool              // its registration was removed
+	left       bool              // after it had said that it would leave
+	endedAt    time.Duration     // when it was found dead or its registration went
+	shadowed   bool              // an older target has the same cookie
+	since      revision.Revision // at which its start was learnt, if an earlier one was known
+	unusable   bool              // its registration has become unusable; see DisableTarget
 
 	flows int // open flows that pass this balancer
 	busy  int // requests under way that pass this balancer
--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -22,7 +22,7 @@
 	now := c.now()
 	listing := len(items) > maxTargetLines
 	if listing {
-		c.log.Info("listing", zap.Int("items", len(items)), zap.String("source", source), zap.Int64("position", c.replica.Position()))
+		c.log.Info("listing", zap.Int("items", len(items)), zap.String("source", source), zap.Stringer("position", c.replica.Position()))
 	}
 	c.edge.counts.changes.Add(uint64(len(items)))
 	var catalogue *replica.Item
@@ -57,29 +57,34 @@
 
 func (c *control) applyCatalogue(i replica.Item, source string) {
 	if i.Deleted {
-		c.log.Error("catalogue was removed; the last version stays in force", zap.Int64("revision", i.Revision))
+		c.log.Error("catalogue was removed; the last version stays in force", c.revision(i))
 		return
 	}
 	cat, err := platform.ParseCatalogue(i.Value)
 	if err != nil {
 		c.edge.counts.badItems.Add(1)
-		c.log.Error("catalogue is not usable; the last version stays in force", zap.Int64("revision", i.Revision), zap.Error(err))
+		c.log.Error("catalogue is not usable; the last version stays in force", c.revision(i), zap.Error(err))
 		return
 	}
 	c.edge.mu.Lock()
 	c.edge.forward.SetCatalogue(cat)
 	c.edge.mu.Unlock()
 	c.log.Info("catalogue in force", zap.Int64("version", cat.Version), zap.Int64("before", c.version),
-		zap.Int64("revision", i.Revision), zap.String("source", source), zap.Int("routes", len(cat.Routes)))
+		c.revision(i), zap.String("source", source), zap.Int("routes", len(cat.Routes)))
 	c.version = cat.Version
 }
 
+// revision returns an item's revision for the log, with the era of the copy.
+func (c *control) revision(i replica.Item) zap.Field {
+	return zap.Stringer("revision", c.replica.Position().At(i.Revision))
+}
+
 // applyTarget takes a target's registration or its end; tell has it logged.
 func (c *control) applyTarget(now time.Duration, i replica.Item, source string, tell bool) {
 	id, err := platform.ParseTargetID(i.Key)
 	if err != nil {
 		c.edge.counts.badItems.Add(1)
-		c.log.Error("target's key is not usable", zap.String("key", i.Key), zap.Int64("revision", i.Revision), zap.Error(err))
+		c.log.Error("target's key is not usable", zap.String("key", i.Key), c.revision(i), zap.Error(err))
 		return
 	}
 	if i.Deleted {
@@ -91,7 +96,7 @@
 		c.disableTarget(id, i, source, err)
 		return
 	}
-	t.Revision = i.Revision
+	t.Revision = c.replica.Position().At(i.Revision)
 	c.edge.mu.Lock()
 	lost := c.edge.forward.PutTarget(now, t)
 	named := c.edge.forward.Named(t.Service)
@@ -99,10 +104,10 @@
 	c.resetFlows(now, lost, direct.ResetRestarted, id)
 	if c.version > 0 && !named {
 		c.log.Warn("target's service is not in the catalogue: it gets no flows until it is", zap.Stringer("target", id),
-			zap.Int64("revision", i.Revision), zap.String("service", t.Service), zap.Int64("version", c.version))
+			c.revision(i), zap.String("service", t.Service), zap.Int64("version", c.version))
 	}
 	if tell {
-		c.log.Info("target", zap.Stringer("target", id), zap.Stringer("born", t.Born), zap.Int64("revision", i.Revision), zap.String("source", source),
+		c.log.Info("target", zap.Stringer("target", id), zap.Stringer("born", t.Born), c.revision(i), zap.String("source", source),
 			zap.String("service", t.Service), zap.Stringer("address", t.Addr), zap.String("at", t.DataCenter),
 			zap.Bool("draining", t.Draining), zap.Duration("cold", t.ColdLeft), zap.Int("lostFlows", len(lost)))
 	}
@@ -115,7 +120,7 @@
 	c.edge.forward.DisableTarget(id)
 	c.edge.mu.Unlock()
 	c.log.Error("target's registration is not usable: it gets no new flows, open ones stay", zap.Stringer("target", id),
-		zap.Int64("revision", i.Revision), zap.String("source", source), zap.Error(why))
+		c.revision(i), zap.String("source", source), zap.Error(why))
 }
 
 func (c *control) removeTarget(now time.Duration, id direct.TargetID, i replica.Item, source string, tell bool) {
@@ -123,6 +128,6 @@
 	c.edge.forward.RemoveTarget(now, id)
 	c.edge.mu.Unlock()
 	if tell {
-		c.log.Info("target gone", zap.Stringer("target", id), zap.Int64("revision", i.Revision), zap.String("source", source))
+		c.log.Info("target gone", zap.Stringer("target", id), c.revision(i), zap.String("source", source))
 	}
 }
--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"rosedale.dev/rosedale/internal/peer"
+	"rosedale.dev/rosedale/internal/revision"
 )
 
 const (
@@ -75,6 +76,11 @@
 		http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	era, err := eraOf(r)
+	if err != nil {
+		http.Error(w, "era: "+err.Error(), http.StatusBadRequest)
+		return
+	}
 	if after == 0 {
 		if err := c.takeFull(r.Context()); err != nil {
 			c.edge.counts.copiesRefused.Add(1)
@@ -86,7 +92,7 @@
 		c.edge.counts.copiesSent.Add(1)
 	}
 	answer := make(chan *peer.Changes, 1)
-	c.post(func() { answer <- c.changes(after) })
+	c.post(func() { answer <- c.changes(after, era) })
 	select {
 	case ch := <-answer:
 		c.writeChanges(w, ch)
@@ -150,16 +156,30 @@
 	}
 }
 
-func (c *control) changes(after int64) *peer.Changes {
+// anyEra stands for the era of a balancer that does not tell it.
+const anyEra = -1
+
+// eraOf returns the era that a balancer's question is of.
+func eraOf(r *http.Request) (int64, error) {
+	if !r.URL.Query().Has("era") {
+		return anyEra, nil
+	}
+	return strconv.ParseInt(r.URL.Query().Get("era"), 10, 64)
+}
+
+// changes returns what a balancer lacks whose copy is complete up to a revision of an era:
+// all items if it is another era than here.
+func (c *control) changes(after, era int64) *peer.Changes {
 	if !c.replica.Loaded() {
 		return nil
 	}
-	ch := &peer.Changes{Position: c.replica.Position(), Age: c.replica.Age(c.now())}
+	here := c.replica.Position()
+	ch := &peer.Changes{Era: here.Era, Position: here.Number, Age: c.replica.Age(c.now())}
 	items, ok := c.replica.Since(after)
-	if !ok || after == 0 {
+	if !ok || after == 0 || era != anyEra && era != here.Era {
 		items, ch.Full = c.replica.All(), true
 	}
-	b, err := c.packer.Pack(ch.Full, items, c.replica.LastChange())
+	b, err := c.packer.Pack(ch.Full, items, here.At(c.replica.LastChange()))
 	if err != nil {
 		c.log.Error("control: changes", zap.Error(err))
 		return nil
@@ -168,14 +188,14 @@
 	return ch
 }
 
-// fetchChanges takes what this balancer lacks from another one, which knows all changes
-// after the revision history.
-func (c *control) fetchChanges(ctx context.Context, from netip.AddrPort, history int64) {
+// fetchChanges takes what this balancer lacks from another one, whose copy is of an era
+// and which knows all changes after the revision history.
+func (c *control) fetchChanges(ctx context.Context, from netip.AddrPort, era, history int64) {
 	if c.fetchBusy {
 		return
 	}
 	c.fetchBusy = true
-	after := c.replica.After(history)
+	after := c.replica.Position().At(c.replica.After(era, history))
 	asked := c.now()
 	go func() {
 		ch, err := c.fetchFromPeer(ctx, from, after)
@@ -186,8 +206,8 @@
 	}()
 }
 
-func (c *control) fetchFromPeer(ctx context.Context, from netip.AddrPort, after int64) (*peer.Changes, error) {
-	url := "http://" + from.String() + changesPath + "?after=" + strconv.FormatInt(after, 10)
+func (c *control) fetchFromPeer(ctx context.Context, from netip.AddrPort, after revision.Revision) (*peer.Changes, error) {
+	url := "http://" + from.String() + changesPath + "?after=" + strconv.FormatInt(after.Number, 10) + "&era=" + strconv.FormatInt(after.Era, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, errors.Wrapf(err, "changes from %s", from)
@@ -222,11 +242,10 @@
 	}
 	proven := asked - ch.Age
 	if ch.Full {
-		c.apply(c.replica.Replace(items, ch.Position, proven), from.String())
-		c.firstCopyIsThere(from.String())
+		c.applyCopy(items, ch.At(), proven, from.String())
 		return
 	}
-	c.applyChanges(c.replica.Merge(items, ch.Position, proven), from.String(), asked)
+	c.applyChanges(c.replica.Merge(items, ch.At(), proven), from.String(), asked)
 }
 
 // fetchIfOld asks other balancers in turn while nothing is known at all, or the
@@ -255,5 +274,5 @@
 		return
 	}
 	c.askTurn++
-	c.fetchChanges(ctx, others[c.askTurn%len(others)], unknownHistory)
+	c.fetchChanges(ctx, others[c.askTurn%len(others)], c.replica.Position().Era, unknownHistory)
 }
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -50,7 +50,7 @@
 	unregistered map[string]bool
 	readAt       time.Duration // when the next read of the store is due
 	readBusy     bool
-	era          atomic.Int64 // of the store, as it told last
+	era          atomic.Int64 // of the copy
 	readDone     time.Duration
 	fetchBusy    bool
 	askTurn      int           // which balancer to ask next
@@ -163,6 +163,7 @@
 	c.fetchIfOld(ctx, now)
 	age := c.replica.Age(now)
 	c.edge.proven.Store(int64(now - age))
+	c.era.Store(c.replica.Position().Era)
 	c.edge.times.age.RecordDuration(age)
 	c.lease.renewIfDue(ctx, c, now)
 	c.tellFleet()
--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -25,8 +25,11 @@
 }
 
 // The store comes back from an older copy, and its revisions with it. An operator then
-// drops a route and adds another one, and a target says that it leaves. Callers find the
-// dropped route open, the new one closed, and are sent to the target that leaves.
+// drops a route and adds another one, and a target says that it leaves. Callers found the
+// dropped route open, the new one closed, and were sent to the target that leaves: copies
+// compared revisions of two lives of the store, took its listings for late ones ("listing
+// of the store is older than the copy and changes nothing", 30 below 36) and then asked for
+// changes after a revision that had been given out a second time.
 func TestChangesAfterTheStoreCameBack(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 3)
--- a/internal/edge/evacuation.go
+++ b/internal/edge/evacuation.go
@@ -14,7 +14,7 @@
 	name, err := platform.ParseEvacuation(i.Key)
 	if err != nil {
 		c.edge.counts.badItems.Add(1)
-		c.log.Error("evacuation is not usable", zap.String("key", i.Key), zap.Int64("revision", i.Revision), zap.Error(err))
+		c.log.Error("evacuation is not usable", zap.String("key", i.Key), c.revision(i), zap.Error(err))
 		return
 	}
 	what := "data centre evacuated: it gets no new flows, open ones stay"
@@ -23,9 +23,9 @@
 		what = "data centre taken back"
 		c.edge.forward.TakeBack(now, name)
 	} else {
-		c.edge.forward.Evacuate(now, name, i.Revision)
+		c.edge.forward.Evacuate(now, name, c.replica.Position().At(i.Revision))
 	}
 	c.edge.mu.Unlock()
-	c.log.Info(what, zap.String("at", name), zap.Int64("revision", i.Revision), zap.String("source", source),
+	c.log.Info(what, zap.String("at", name), c.revision(i), zap.String("source", source),
 		zap.Duration("age", c.replica.Age(now)))
 }
--- a/internal/edge/evacuation_test.go
+++ b/internal/edge/evacuation_test.go
@@ -76,12 +76,12 @@
 		b.replica = replica.New(platform.Significant)
 		b.edge.forward = direct.New(direct.Config{DataCenter: "a", FlowMaxAge: time.Minute, MaxFlows: 10})
 		b.edge.packets = &packets{edge: b.edge, loaded: make(chan struct{})}
-		b.replica.Replace([]replica.Item{{Key: platform.TargetPrefix + "i-1", Value: []byte(goodTarget), Revision: 1}}, 1, 0)
-		b.apply(b.replica.Apply(c.items, 9, 0), "test")
+		b.replica.Replace([]replica.Item{{Key: platform.TargetPrefix + "i-1", Value: []byte(goodTarget), Revision: 1}}, at(1), 0)
+		b.apply(b.replica.Apply(c.items, at(9), 0), "test")
 		if got := len(b.edge.forward.Evacuations(0)); got != c.want {
 			t.Errorf("%s: %d evacuations, want %d", name, got, c.want)
 		}
-		listed := b.replica.Replace(nil, 10, 0) // the history is gone, and so is the key
+		listed := b.replica.Replace(nil, at(10), 0) // the history is gone, and so is the key
 		b.apply(listed, "test")
 		if got := len(b.edge.forward.Evacuations(0)); got != 0 {
 			t.Errorf("%s: %d evacuations after a listing without the key", name, got)
--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -99,7 +99,7 @@
 		Leaving:    c.leaving,
 	}
 	if c.replica.Loaded() {
-		h.Position = c.replica.Position()
+		h.Position, h.Era = c.replica.Position().Number, c.replica.Position().Era
 		h.LastChange = c.replica.LastChange()
 		h.History = c.replica.History()
 		h.Age = c.replica.Age(now)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -26,6 +26,7 @@
 	m.Counter("items_unusable", n.badItems.Load)
 	m.Counter("store_calls", e.control.store.Calls.Load)
 	m.Counter("store_read_failures", n.readFailures.Load)
+	m.Counter("store_eras_begun", n.eras.Load)
 	m.Counter("listings_outdated", n.listingsOutdated.Load)
 	m.Counter("peer_fetch_failures", n.fetchFailures.Load)
 	m.Counter("copies_sent", n.copiesSent.Load)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -57,7 +57,7 @@
 		c.log.Info("balancer leaves", zap.String("peer", h.From))
 	}
 	if n == nil || now-n.heard > peerSilent {
-		c.log.Info("balancer heard", zap.String("peer", h.From), zap.Int64("position", h.Position), zap.Int64("version", h.Version))
+		c.log.Info("balancer heard", zap.String("peer", h.From), zap.Stringer("position", h.At()), zap.Int64("version", h.Version))
 	}
 	if n == nil {
 		n = &neighbour{}
@@ -65,7 +65,7 @@
 	}
 	n.last, n.heard = h, now
 	if c.lacks(now, h) && !c.reader.Succeeding() {
-		c.fetchChanges(ctx, h.Control, h.History)
+		c.fetchChanges(ctx, h.Control, h.Era, h.History)
 	}
 	c.found(now, h)
 }
@@ -77,7 +77,7 @@
 	if h.Position == 0 {
 		return false
 	}
-	switch c.replica.Confirm(h.Position, h.LastChange, h.History, now-h.Age) {
+	switch c.replica.Confirm(h.At(), h.LastChange, h.History, now-h.Age) {
 	case replica.Behind:
 		return true
 	case replica.Unproven:
@@ -94,7 +94,7 @@
 		c.edge.mu.Lock()
 		var news bool
 		var lost []direct.Segment
-		if c.edge.forward.SameStart(id, h.Position) {
+		if c.edge.forward.SameStart(id, h.At()) {
 			news = c.edge.forward.PeerSuspects(now, id)
 			if dead {
 				lost = c.edge.forward.PeerFoundDead(now, id)
@@ -141,7 +141,7 @@
 		}
 		for _, u := range n.last.Loads {
 			id := direct.TargetID(u.ID)
-			if !c.edge.forward.SameStart(id, n.last.Position) {
+			if !c.edge.forward.SameStart(id, n.last.At()) {
 				continue
 			}
 			out[id] = out[id].Plus(direct.Load{Flows: u.Flows, Busy: u.Busy})
@@ -161,7 +161,7 @@
 		}
 		for _, o := range n.last.Outcomes {
 			id := direct.TargetID(o.ID)
-			if !c.edge.forward.SameStart(id, n.last.Position) {
+			if !c.edge.forward.SameStart(id, n.last.At()) {
 				continue
 			}
 			out[id] = out[id].Plus(o.Outcome().Faded(now - n.heard))
@@ -180,7 +180,7 @@
 	m, err := peer.DecodeMember(i.Value)
 	if err != nil {
 		c.edge.counts.badItems.Add(1)
-		c.log.Error("member's registration is not usable: it counts as removed", zap.String("member", i.Key), zap.Int64("revision", i.Revision), zap.Error(err))
+		c.log.Error("member's registration is not usable: it counts as removed", zap.String("member", i.Key), c.revision(i), zap.Error(err))
 		c.removeMember(i.Key)
 		return
 	}
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -64,15 +64,15 @@
 	}
 	c.stopFirst()
 	now := c.now()
-	c.log.Info("first copy", zap.String("source", source), zap.Duration("after", now), zap.Int64("position", c.replica.Position()), zap.Duration("age", c.replica.Age(now)))
+	c.log.Info("first copy", zap.String("source", source), zap.Duration("after", now), zap.Stringer("position", c.replica.Position()), zap.Duration("age", c.replica.Age(now)))
 }
 
 // read runs on a goroutine of its own.
-func (c *control) read(ctx context.Context, now time.Duration, position int64, full bool) listing {
+func (c *control) read(ctx context.Context, now time.Duration, position revision.Revision, full bool) listing {
 	l := listing{asked: now, full: full}
 	if !full {
-		l.items, l.position, l.err = c.store.Watch(ctx, revision.Revision{Number: position}, 0)
-		if !errors.Is(l.err, platform.ErrCompacted) {
+		l.items, l.position, l.err = c.store.Watch(ctx, position, 0)
+		if !errors.Is(l.err, platform.ErrCompacted) && !errors.Is(l.err, platform.ErrNewEra) {
 			return l
 		}
 	}
@@ -87,6 +87,9 @@
 	if l.full && l.err != nil && c.replica.Loaded() {
 		return // a peer was faster
 	}
+	if l.err == nil && l.position.Era < c.replica.Position().Era {
+		l.err = errors.Errorf("store: answer of era %d, the copy is of era %d", l.position.Era, c.replica.Position().Era)
+	}
 	c.readAt = max(l.asked, now-replica.ReadInterval) + c.reader.Done(l.err == nil)
 	c.dependency(l)
 	if l.err != nil {
@@ -94,18 +97,22 @@
 		return
 	}
 	c.readDone = now
-	c.era.Store(l.position.Era)
 	if l.full {
-		if l.position.Number < c.replica.Position() {
-			c.edge.counts.listingsOutdated.Add(1)
-			c.log.Warn("listing of the store is older than the copy and changes nothing", zap.Stringer("listing", l.position),
-				zap.Int64("copy", c.replica.Position()), zap.Int("items", len(l.items)))
-		}
-		c.apply(c.replica.Replace(l.items, l.position.Number, l.asked), "store")
-		c.firstCopyIsThere("store")
+		c.noteOutdated(l)
+		c.applyCopy(l.items, l.position, l.asked, "store")
+		return
+	}
+	c.applyChanges(c.replica.Apply(l.items, l.position, l.asked), "store", l.asked)
+}
+
+// noteOutdated logs a listing that comes too late to change anything.
+func (c *control) noteOutdated(l listing) {
+	if !c.replica.Outdated(l.position) {
 		return
 	}
-	c.applyChanges(c.replica.Apply(l.items, l.position.Number, l.asked), "store", l.asked)
+	c.edge.counts.listingsOutdated.Add(1)
+	c.log.Warn("listing of the store is older than the copy and changes nothing", zap.Stringer("listing", l.position),
+		zap.Stringer("copy", c.replica.Position()), zap.Int("items", len(l.items)))
 }
 
 // applyChanges puts news in force and measures how long that took since it was
@@ -125,7 +132,7 @@
 			c.log.Warn("store lost", zap.Duration("age", c.replica.Age(c.now())), zap.Error(l.err))
 		} else {
 			c.log.Info("store regained", zap.Duration("age", c.replica.Age(c.now())), zap.Stringer("position", l.position),
-				zap.Int64("copy", c.replica.Position()), zap.Bool("listed", l.full))
+				zap.Stringer("copy", c.replica.Position()), zap.Bool("listed", l.full))
 		}
 	}
 }
--- a/internal/edge/sources.go
+++ b/internal/edge/sources.go
@@ -10,6 +10,7 @@
 
 	"rosedale.dev/rosedale/internal/direct"
 	"rosedale.dev/rosedale/internal/peer"
+	"rosedale.dev/rosedale/internal/revision"
 	"rosedale.dev/rosedale/platform"
 )
 
@@ -73,7 +74,7 @@
 	}
 	asked := c.now()
 	go func() {
-		ch, err := c.fetchFromPeer(ctx, from, 0)
+		ch, err := c.fetchFromPeer(ctx, from, revision.Revision{})
 		c.post(func() { c.sourceAnswered(ctx, ch, asked, from, err) })
 	}()
 }
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -16,6 +16,7 @@
 	Ready      bool                    `json:"ready"`
 	Leaving    bool                    `json:"leaving"`
 	Version    int64                   `json:"version"`  // of the catalogue in force
+	Era        int64                   `json:"era"`      // of the store, for the position
 	Position   int64                   `json:"position"` // of the copy of the store
 	Age        time.Duration           `json:"age"`      // of that copy at most
 	Reading    bool                    `json:"reading"`  // this balancer reads the store
@@ -32,6 +33,7 @@
 	DataCenter string        `json:"data_center"`
 	Heard      time.Duration `json:"heard"` // how long ago
 	Version    int64         `json:"version"`
+	Era        int64         `json:"era"`
 	Position   int64         `json:"position"`
 	Reading    bool          `json:"reading"`
 }
@@ -48,10 +50,10 @@
 	s := Status{
 		VM: c.edge.boot.VM, DataCenter: c.edge.boot.DataCenter, Up: now,
 		Ready: c.edge.ready.now(), Leaving: c.leaving, Version: c.version,
-		Position: c.replica.Position(), Age: c.replica.Age(now), Reading: c.reader.Reading(), StoreLost: c.storeLost,
+		Era: c.replica.Position().Era, Position: c.replica.Position().Number, Age: c.replica.Age(now), Reading: c.reader.Reading(), StoreLost: c.storeLost,
 	}
 	for name, n := range c.peers {
-		s.Peers = append(s.Peers, Peer{name, n.last.DataCenter, now - n.heard, n.last.Version, n.last.Position, n.last.Reading})
+		s.Peers = append(s.Peers, Peer{name, n.last.DataCenter, now - n.heard, n.last.Version, n.last.Era, n.last.Position, n.last.Reading})
 	}
 	slices.SortFunc(s.Peers, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
 	c.edge.mu.Lock()
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"rosedale.dev/rosedale/internal/direct"
+	"rosedale.dev/rosedale/internal/revision"
 )
 
 // Bounds of a heartbeat, which is one datagram on any link.
@@ -55,8 +56,14 @@
 	// Dead are those of Suspected, by their places there, that the sender's checks
 	// found dead while its callers waited for them.
 	Dead []int `cbor:"14,keyasint,omitempty"`
+	// Era is that of the store to which all revisions here belong. Balancers of earlier
+	// versions leave it out.
+	Era int64 `cbor:"15,keyasint,omitempty"`
 }
 
+// At returns the revision up to which the sender's copy is complete.
+func (h Heartbeat) At() revision.Revision { return revision.Revision{Era: h.Era, Number: h.Position} }
+
 // TargetUse is what the sender's flows hold at a target, as an array to keep
 // heartbeats short.
 type TargetUse struct {
@@ -100,8 +107,12 @@
 	Packed   []byte        `cbor:"2,keyasint"` // items; see Pack
 	Position int64         `cbor:"3,keyasint"`
 	Age      time.Duration `cbor:"4,keyasint"`
+	Era      int64         `cbor:"5,keyasint,omitempty"` // of the store, for all revisions here
 }
 
+// At returns the revision up to which the changes complete a copy.
+func (c *Changes) At() revision.Revision { return revision.Revision{Era: c.Era, Number: c.Position} }
+
 // Encode encodes a message.
 func Encode(m any) ([]byte, error) {
 	b, err := cbor.Marshal(m)
--- a/internal/peer/pack.go
+++ b/internal/peer/pack.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"rosedale.dev/rosedale/internal/replica"
+	"rosedale.dev/rosedale/internal/revision"
 )
 
 // maxUnpacked bounds unpacked items in bytes: a catalogue of 1 MB and the
@@ -58,13 +59,14 @@
 
 // packKey tells two lists of changes apart: both end at the last change.
 type packKey struct {
-	full        bool
-	items       int
-	first, last int64
+	full  bool
+	items int
+	first int64
+	last  revision.Revision
 }
 
 // Pack is like the function of that name.
-func (p *Packer) Pack(full bool, items []replica.Item, last int64) ([]byte, error) {
+func (p *Packer) Pack(full bool, items []replica.Item, last revision.Revision) ([]byte, error) {
 	k := packKey{full: full, items: len(items), last: last}
 	if len(items) > 0 {
 		k.first = items[0].Revision
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -10,6 +10,7 @@
 
 	"rosedale.dev/rosedale/internal/direct"
 	"rosedale.dev/rosedale/internal/replica"
+	"rosedale.dev/rosedale/internal/revision"
 )
 
 func member(vm, centre string, wide bool) Member {
@@ -134,15 +135,21 @@
 func TestPackerPacksOnce(t *testing.T) {
 	var p Packer
 	items := []replica.Item{{Key: "a", Value: []byte("1"), Revision: 1}}
-	x, _ := p.Pack(true, items, 1)
-	y, _ := p.Pack(true, items, 1)
+	at := revision.Revision{Era: 1, Number: 1}
+	x, _ := p.Pack(true, items, at)
+	y, _ := p.Pack(true, items, at)
 	if &x[0] != &y[0] {
 		t.Error("the same items were packed twice")
 	}
-	z, _ := p.Pack(true, append(items, replica.Item{Key: "b", Revision: 2}), 2)
+	z, _ := p.Pack(true, append(items, replica.Item{Key: "b", Revision: 2}), at.At(2))
 	if back, _ := Unpack(z); len(back) != 2 {
 		t.Errorf("%d items after a change", len(back))
 	}
+	later := []replica.Item{{Key: "a", Value: []byte("2"), Revision: 1}}
+	z, _ = p.Pack(true, later, revision.Revision{Era: 2, Number: 1})
+	if back, _ := Unpack(z); string(back[0].Value) != "2" {
+		t.Error("a revision that an earlier era gave out brought that era's item")
+	}
 }
 
 func FuzzDecodeHeartbeat(f *testing.F) {
--- a/internal/replica/history_test.go
+++ b/internal/replica/history_test.go
@@ -6,18 +6,39 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"rosedale.dev/rosedale/internal/revision"
 )
 
-// history is the store: all writes in order, of which it may have dropped the older.
+// history is the store: all writes in order, of which it may have dropped the older. It
+// may come back from an older copy, as another era.
 type history struct {
-	items []Item // the i-th has revision i+1
-	kept  int64  // changes up to here are no longer told
+	items []Item   // the i-th has revision i+1
+	past  [][]Item // those of earlier eras
+	kept  int64    // changes up to here are no longer told
+}
+
+func (h *history) era() int64 { return int64(len(h.past)) }
+
+// of returns the writes of an era.
+func (h *history) of(era int64) []Item {
+	if era == h.era() {
+		return h.items
+	}
+	return h.past[era]
+}
+
+// comeBack loses the last writes. Their revisions are given out again.
+func (h *history) comeBack(rng *rand.Rand) {
+	h.past = append(h.past, h.items)
+	h.items = slices.Clone(h.items[:rng.Int64N(h.last()+1)])
+	h.kept = min(h.kept, h.last())
 }
 
 // at returns what existed at a revision.
-func (h *history) at(revision int64) map[string]Item {
+func (h *history) at(r revision.Revision) map[string]Item {
 	out := map[string]Item{}
-	for _, i := range h.items[:revision] {
+	for _, i := range h.of(r.Era)[:r.Number] {
 		out[i.Key] = i
 		if i.Deleted {
 			delete(out, i.Key)
@@ -28,11 +49,14 @@
 
 func (h *history) last() int64 { return int64(len(h.items)) }
 
+// now returns the store's revision.
+func (h *history) now() revision.Revision { return revision.Revision{Era: h.era(), Number: h.last()} }
+
 // write adds a random write: a heartbeat, a change, a removal or a key that comes back.
 func (h *history) write(rng *rand.Rand) {
 	rev := h.last() + 1
 	key := strconv.Itoa(rng.IntN(4))
-	old, exists := h.at(h.last())[key]
+	old, exists := h.at(h.now())[key]
 	switch {
 	case exists && rng.IntN(3) == 0:
 		h.items = append(h.items, gone(key, rev))
@@ -48,8 +72,8 @@
 
 // read asks the store for a copy, as a reader does.
 func (h *history) read(r *Replica, rng *rand.Rand) answer {
-	if r.Loaded() && r.Position() >= h.kept {
-		items, at := h.items[min(r.Position(), h.last()):], h.last()
+	if p := r.Position(); r.Loaded() && p.Era == h.era() && p.Number >= h.kept {
+		items, at := h.items[p.Number:], h.now()
 		return func(r *Replica) { r.Apply(items, at, 0) }
 	}
 	all, at := h.list(rng)
@@ -58,14 +82,14 @@
 
 // list returns pages of the store and its revision before the first one. The later
 // pages may be newer, as writes go on between them.
-func (h *history) list(rng *rand.Rand) ([]Item, int64) {
-	at := h.last()
+func (h *history) list(rng *rand.Rand) ([]Item, revision.Revision) {
+	at := h.now()
 	var all []Item
 	for k := range 4 {
 		if rng.IntN(3) == 0 {
 			h.write(rng)
 		}
-		if i, ok := h.at(h.last())[strconv.Itoa(k)]; ok {
+		if i, ok := h.at(h.now())[strconv.Itoa(k)]; ok {
 			all = append(all, i)
 		}
 	}
@@ -87,7 +111,7 @@
 		}
 	}
 	at := from.Position()
-	after := to.After(from.History())
+	after := to.After(at.Era, from.History())
 	items, ok := from.Since(after)
 	if !ok || after == 0 {
 		items = from.All()
@@ -99,7 +123,8 @@
 // A store forgets its history, registrations lapse and come back, and some balancers
 // list while others follow changes. Whatever a copy says it is complete up to, it must
 // hold what the store held then. One that lacks a registration resets the flows of a
-// target that lives.
+// target that lives. The store also comes back from older copies of itself, while answers
+// of earlier eras are still under way.
 func TestCopiesHoldWhatTheyClaim(t *testing.T) {
 	for seed := range uint64(5000) {
 		rng := rand.New(rand.NewPCG(seed, 5))
@@ -111,7 +136,7 @@
 		waiting := make([][]answer, len(copies))
 		for range 80 {
 			a, b := rng.IntN(len(copies)), rng.IntN(len(copies))
-			switch rng.IntN(14) {
+			switch rng.IntN(15) {
 			case 0, 1, 2:
 				h.write(rng)
 			case 3, 4, 5:
@@ -130,10 +155,14 @@
 				h.kept = h.last()
 			case 13:
 				copies[a], waiting[a] = New(significant), nil // its balancer starts again
+			case 14:
+				if rng.IntN(4) == 0 {
+					h.comeBack(rng)
+				}
 			}
 			for i, r := range copies {
 				if missing := lacks(r, h); missing != "" {
-					t.Fatalf("seed %d: copy %d at position %d: %s", seed, i, r.Position(), missing)
+					t.Fatalf("seed %d: copy %d at position %v: %s", seed, i, r.Position(), missing)
 				}
 			}
 		}
@@ -148,7 +177,7 @@
 	want := h.at(r.Position())
 	for _, i := range r.All() {
 		x, ok := want[i.Key]
-		if i.Revision > r.Position() {
+		if i.Revision > r.Position().Number {
 			delete(want, i.Key) // it is ahead, from a later page
 			continue
 		}
@@ -161,7 +190,7 @@
 		delete(want, i.Key)
 	}
 	for k := range want {
-		if slices.ContainsFunc(h.items[r.Position():], func(i Item) bool { return i.Key == k && i.Deleted }) {
+		if slices.ContainsFunc(h.of(r.Position().Era)[r.Position().Number:], func(i Item) bool { return i.Key == k && i.Deleted }) {
 			continue // removed before a later page
 		}
 		return "key " + k + " is missing"
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,8 +1,11 @@
 package replica
 
 import (
+	"slices"
 	"sort"
 	"time"
+
+	"rosedale.dev/rosedale/internal/revision"
 )
 
 const (
@@ -27,8 +30,10 @@
 	logFrom     int64 // the log holds all significant changes after this revision
 	gaps        []gap // but for those in these
 	lastChange  int64 // revision of the last significant change
-	position    int64
-	ahead       int64 // the newest item that was beyond the position when it came
+	// position is the revision up to which the copy is complete. All numbers here are of
+	// its era.
+	position revision.Revision
+	ahead    int64 // the newest item that was beyond the position when it came
 	// exact tells that nothing is missing that was removed after the position: later
 	// pages of a listing lack such keys.
 	exact  bool
@@ -45,7 +50,7 @@
 func (r *Replica) Loaded() bool { return r.loaded }
 
 // Position returns the revision up to which the copy is complete.
-func (r *Replica) Position() int64 { return r.position }
+func (r *Replica) Position() revision.Revision { return r.position }
 
 // Age returns how old the copy may be at most.
 func (r *Replica) Age(now time.Duration) time.Duration {
@@ -55,17 +60,19 @@
 	return now - r.proven
 }
 
-// After returns the revision after which to ask for changes another balancer that knows
-// all of them after the revision history, or 0 if a full copy is needed.
+// After returns the revision after which to ask for changes another balancer whose copy
+// is of an era and knows all of them after the revision history, or 0 if a full copy is
+// needed.
 //
 // Failure: a listing's later pages are newer than its position, and hold a key that is
 // removed before the other balancer lists the store. It shows as a key that stays for
 // ever, as neither the changes since the position nor that listing tell of it.
-func (r *Replica) After(history int64) int64 {
-	if !r.loaded || r.ahead > r.position && history > r.position {
+func (r *Replica) After(era, history int64) int64 {
+	number := r.position.Number
+	if !r.loaded || era != r.position.Era || r.ahead > number && history > number {
 		return 0
 	}
-	return r.position
+	return number
 }
 
 // LastChange returns the revision of the last change that mattered.
@@ -83,7 +90,8 @@
 
 // Confirm takes another balancer's word that at the time proven the store was at
 // position, nothing after lastChange mattered, and it knows all changes after the
-// revision history. A copy that has all that is as new as the other one's.
+// revision history. A copy that has all that is as new as the other one's. A later era
+// leaves every copy of an earlier one behind, whatever their numbers.
 //
 // Failure: a balancer was suspended for seconds, which its clock does not show,
 // and says that its old copy is fresh. It shows as a copy that is taken for
@@ -94,40 +102,45 @@
 // before. It shows as a target that stays in use on peers which had followed the
 // changes until then, as a listing does not tell of removals. So it proves nothing to
 // copies that are older than its listing.
-func (r *Replica) Confirm(position, lastChange, history int64, proven time.Duration) Standing {
+func (r *Replica) Confirm(position revision.Revision, lastChange, history int64, proven time.Duration) Standing {
+	number := r.position.Number
 	switch {
-	case !r.loaded || r.position < lastChange:
+	case !r.loaded || r.position.Era < position.Era:
+		return Behind
+	case position.Era < r.position.Era:
+		return Current
+	case number < lastChange:
 		return Behind
-	case position < r.position:
+	case position.Number < number:
 		return Current
-	case r.position < history && r.position < position:
+	case number < history && number < position.Number:
 		return Unproven
 	}
-	r.exact = r.exact || position > r.position
-	r.advance(position)
+	r.exact = r.exact || position.Number > number
+	r.advance(position.Number)
 	r.proven = max(r.proven, proven)
 	return Current
 }
 
 // Apply takes all changes of the store since the copy's position, which complete it up
 // to another one at the time proven. It returns those that matter.
-func (r *Replica) Apply(items []Item, position int64, proven time.Duration) []Item {
+func (r *Replica) Apply(items []Item, position revision.Revision, proven time.Duration) []Item {
 	return r.follow(items, position, proven, r.matters)
 }
 
 // Merge takes the changes that matter to another balancer since this copy's position.
 // All of them may matter to a third one, whatever they change here.
-func (r *Replica) Merge(items []Item, position int64, proven time.Duration) []Item {
+func (r *Replica) Merge(items []Item, position revision.Revision, proven time.Duration) []Item {
 	return r.follow(items, position, proven, always)
 }
 
-// follow takes changes unless they come too late.
-func (r *Replica) follow(items []Item, position int64, proven time.Duration, news func(old, new Item) bool) []Item {
-	if r.outdated(position) {
+// follow takes changes unless they come too late, or are of another era than the copy.
+func (r *Replica) follow(items []Item, position revision.Revision, proven time.Duration, news func(old, new Item) bool) []Item {
+	if r.Outdated(position) || position.Era != r.position.Era {
 		return nil
 	}
 	r.exact = true
-	return r.take(items, position, proven, news)
+	return r.take(items, position.Number, proven, news)
 }
 
 func always(Item, Item) bool { return true }
@@ -140,45 +153,59 @@
 // told of no change, and resets the flows of a target that lives. So all items that are
 // newer than the copy count as changes, and peers in the gap take a full copy, as they
 // may hold keys of which the listing tells nothing.
-func (r *Replica) Replace(items []Item, position int64, proven time.Duration) []Item {
-	if r.outdated(position) {
+func (r *Replica) Replace(items []Item, position revision.Revision, proven time.Duration) []Item {
+	switch {
+	case r.Outdated(position):
 		return nil
+	case r.loaded && position.Era != r.position.Era:
+		return r.begin(items, position, proven)
 	}
-	listed := make(map[string]bool, len(items))
-	for _, i := range items {
-		listed[i.Key] = true
-	}
-	var gone []Item
-	for k, i := range r.items {
-		if !i.Deleted && !listed[k] && i.Revision <= position {
-			gone = append(gone, Item{Key: k, Revision: position, Deleted: true})
-		}
-	}
-	sort.Slice(gone, func(a, b int) bool { return gone[a].Key < gone[b].Key })
-	before := r.position
+	gone := slices.DeleteFunc(missing(r.items, items, position.Number), func(i Item) bool {
+		return r.items[i.Key].Revision > position.Number
+	})
+	before := r.position.Number
 	switch {
 	case !r.loaded:
-		r.logFrom = position
-	case position > before && r.exact:
-		r.jump(gap{before, position})
-	case position > before:
-		r.jump(gap{before - 1, position})
+		r.position.Era = position.Era
+		r.logFrom = position.Number
+	case position.Number > before && r.exact:
+		r.jump(gap{before, position.Number})
+	case position.Number > before:
+		r.jump(gap{before - 1, position.Number})
 	}
 	r.loaded = true
 	r.exact = false
-	return r.take(append(gone, items...), position, proven, func(old, new Item) bool {
+	return r.take(append(gone, items...), position.Number, proven, func(old, new Item) bool {
 		return new.Revision > before || r.matters(old, new)
 	})
 }
 
-// outdated reports whether an answer that is complete up to a revision comes too late,
+// missing returns the removals of what a listing lacks, by their keys.
+func missing(known map[string]Item, listed []Item, position int64) []Item {
+	has := make(map[string]bool, len(listed))
+	for _, i := range listed {
+		has[i.Key] = true
+	}
+	var gone []Item
+	for k, i := range known {
+		if !i.Deleted && !has[k] {
+			gone = append(gone, Item{Key: k, Revision: position, Deleted: true})
+		}
+	}
+	sort.Slice(gone, func(a, b int) bool { return gone[a].Key < gone[b].Key })
+	return gone
+}
+
+// Outdated reports whether an answer that is complete up to a revision comes too late,
 // as another one has completed the copy further meanwhile.
 //
 // Failure: a balancer that starts asks the store and a peer that is cut off from it. The
 // store's listing comes first and lacks a registration that has lapsed, then the peer's
 // old copy brings it back. It shows as a target that comes and goes unnoticed, and whose
 // return is not told to peers.
-func (r *Replica) outdated(position int64) bool { return r.loaded && position < r.position }
+func (r *Replica) Outdated(position revision.Revision) bool {
+	return r.loaded && position.Before(r.position)
+}
 
 // take stores the items that are newer than those known. news tells which of them
 // matter.
@@ -234,10 +261,10 @@
 }
 
 func (r *Replica) advance(position int64) {
-	if position <= r.position {
+	if position <= r.position.Number {
 		return
 	}
-	r.position = position
+	r.position.Number = position
 	for k, i := range r.items {
 		if i.Deleted && i.Revision < position-removedMemory {
 			delete(r.items, k)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"rosedale.dev/rosedale/internal/revision"
 )
 
 // heartbeats end in "+": they change nothing that matters.
@@ -18,11 +20,14 @@
 	return Item{Key: key, Value: []byte(value), Revision: rev}
 }
 
+// at is a revision of a store that tells no era.
+func at(number int64) revision.Revision { return revision.Revision{Number: number} }
+
 func gone(key string, rev int64) Item { return Item{Key: key, Revision: rev, Deleted: true} }
 
 func TestApplyReturnsWhatMatters(t *testing.T) {
 	r := New(significant)
-	r.Replace([]Item{put("a", "1", 1), put("b", "1", 2)}, 5, 0)
+	r.Replace([]Item{put("a", "1", 1), put("b", "1", 2)}, at(5), 0)
 	for _, c := range []struct {
 		name string
 		item Item
@@ -37,7 +42,7 @@
 		{"key written again", put("b", "1", 10), true},
 		{"removal of an unknown key", gone("x", 11), false},
 	} {
-		if got := len(r.Apply([]Item{c.item}, c.item.Revision, 0)) > 0; got != c.want {
+		if got := len(r.Apply([]Item{c.item}, at(c.item.Revision), 0)) > 0; got != c.want {
 			t.Errorf("%s: matters %v, want %v", c.name, got, c.want)
 		}
 	}
@@ -47,15 +52,15 @@
 // meanwhile must go, keys that were written while the pages were read must stay.
 func TestReplaceRemovesWhatIsMissing(t *testing.T) {
 	r := New(significant)
-	r.Replace([]Item{put("a", "1", 1), put("b", "1", 2), put("c", "1", 3)}, 5, 0)
-	out := r.Replace([]Item{put("a", "1", 1), put("c", "2", 12)}, 10, 0)
+	r.Replace([]Item{put("a", "1", 1), put("b", "1", 2), put("c", "1", 3)}, at(5), 0)
+	out := r.Replace([]Item{put("a", "1", 1), put("c", "2", 12)}, at(10), 0)
 	if want := []Item{gone("b", 10), put("c", "2", 12)}; !reflect.DeepEqual(out, want) {
 		t.Errorf("changes %v, want %v", out, want)
 	}
 	if got := r.All(); len(got) != 2 {
 		t.Errorf("items left: %v", got)
 	}
-	if r.Position() != 10 {
+	if r.Position() != at(10) {
 		t.Errorf("position %d, want that before the first page", r.Position())
 	}
 }
@@ -64,12 +69,12 @@
 // known, and what it lacks was written since.
 func TestLateListingChangesNothing(t *testing.T) {
 	r := New(significant)
-	r.Replace([]Item{put("a", "1", 1)}, 5, 0)
-	r.Merge([]Item{put("b", "1", 11)}, 12, 0)
-	if out := r.Replace([]Item{put("a", "1", 1), put("old", "1", 3)}, 10, 0); len(out) != 0 {
+	r.Replace([]Item{put("a", "1", 1)}, at(5), 0)
+	r.Merge([]Item{put("b", "1", 11)}, at(12), 0)
+	if out := r.Replace([]Item{put("a", "1", 1), put("old", "1", 3)}, at(10), 0); len(out) != 0 {
 		t.Errorf("changes %v, want none", out)
 	}
-	if r.Position() != 12 || len(r.All()) != 2 {
+	if r.Position() != at(12) || len(r.All()) != 2 {
 		t.Errorf("position %d with %v", r.Position(), r.All())
 	}
 }
@@ -78,14 +83,14 @@
 // as good as the peer's; one that lacks it must ask.
 func TestConfirm(t *testing.T) {
 	r := New(significant)
-	if r.Confirm(5, 3, 0, time.Second) != Behind {
+	if r.Confirm(at(5), 3, 0, time.Second) != Behind {
 		t.Error("an empty copy was confirmed")
 	}
-	r.Replace([]Item{put("a", "1", 3)}, 5, time.Second)
-	if r.Confirm(20, 3, 0, 2*time.Second) != Current || r.Position() != 20 || r.Age(3*time.Second) != time.Second {
+	r.Replace([]Item{put("a", "1", 3)}, at(5), time.Second)
+	if r.Confirm(at(20), 3, 0, 2*time.Second) != Current || r.Position() != at(20) || r.Age(3*time.Second) != time.Second {
 		t.Errorf("position %d, age %v", r.Position(), r.Age(3*time.Second))
 	}
-	if r.Confirm(30, 25, 0, 4*time.Second) != Behind || r.Age(4*time.Second) != 2*time.Second {
+	if r.Confirm(at(30), 25, 0, 4*time.Second) != Behind || r.Age(4*time.Second) != 2*time.Second {
 		t.Error("a copy that lacks a change was confirmed")
 	}
 }
@@ -94,11 +99,11 @@
 // That proves nothing to a copy that is further on.
 func TestConfirmByOneBehind(t *testing.T) {
 	r := New(significant)
-	r.Replace([]Item{put("a", "1", 3)}, 50, time.Second)
-	if r.Confirm(40, 3, 0, 9*time.Second) != Current {
+	r.Replace([]Item{put("a", "1", 3)}, at(50), time.Second)
+	if r.Confirm(at(40), 3, 0, 9*time.Second) != Current {
 		t.Error("nothing has to be fetched from a peer behind")
 	}
-	if got := r.Age(9 * time.Second); got != 8*time.Second || r.Position() != 50 {
+	if got := r.Age(9 * time.Second); got != 8*time.Second || r.Position() != at(50) {
 		t.Errorf("age %v at position %d", got, r.Position())
 	}
 }
@@ -108,12 +113,12 @@
 // of the removal from one that followed the changes.
 func TestConfirmByOneThatHasJustListed(t *testing.T) {
 	r, fresh := New(significant), New(significant)
-	r.Replace([]Item{put("a", "1", 3), put("b", "1", 4)}, 5, 0)
-	fresh.Replace([]Item{put("a", "1", 3)}, 9, time.Second) // b was removed at 8
+	r.Replace([]Item{put("a", "1", 3), put("b", "1", 4)}, at(5), 0)
+	fresh.Replace([]Item{put("a", "1", 3)}, at(9), time.Second) // b was removed at 8
 	if got := r.Confirm(fresh.Position(), fresh.LastChange(), fresh.History(), time.Second); got != Unproven {
 		t.Errorf("standing %v, want unproven", got)
 	}
-	if r.Position() != 5 {
+	if r.Position() != at(5) {
 		t.Errorf("position %d: the removal at 8 will never be read", r.Position())
 	}
 }
@@ -123,10 +128,10 @@
 // in between lacks the key, and has to get it.
 func TestKeyThatLapsedInAGap(t *testing.T) {
 	r, peer := New(significant), New(significant)
-	r.Replace([]Item{put("a", "1", 3)}, 5, 0)
-	r.Apply(nil, 5, 0)
-	peer.Replace(nil, 7, 0) // a was removed at 6
-	r.Replace([]Item{put("a", "1", 8)}, 9, 0)
+	r.Replace([]Item{put("a", "1", 3)}, at(5), 0)
+	r.Apply(nil, at(5), 0)
+	peer.Replace(nil, at(7), 0) // a was removed at 6
+	r.Replace([]Item{put("a", "1", 8)}, at(9), 0)
 	if got := peer.Confirm(r.Position(), r.LastChange(), r.History(), 0); got != Behind {
 		t.Errorf("standing %v, want behind", got)
 	}
@@ -143,27 +148,27 @@
 // removal. The first one, which has the key, must not take its word for changes.
 func TestKeyRemovedBetweenPages(t *testing.T) {
 	r, peer := New(significant), New(significant)
-	r.Replace([]Item{put("a", "1", 3)}, 5, 0)
-	peer.Replace(nil, 5, 0) // a was removed at 6, before its page was read
-	peer.Replace(nil, 9, 0)
-	if _, ok := peer.Since(r.After(peer.History())); ok {
+	r.Replace([]Item{put("a", "1", 3)}, at(5), 0)
+	peer.Replace(nil, at(5), 0) // a was removed at 6, before its page was read
+	peer.Replace(nil, at(9), 0)
+	if _, ok := peer.Since(r.After(0, peer.History())); ok {
 		t.Error("changes since the first listing are not known")
 	}
 }
 
 func TestSinceAndLog(t *testing.T) {
 	r := New(significant)
-	r.Replace([]Item{put("a", "0", 1)}, 10, 0)
+	r.Replace([]Item{put("a", "0", 1)}, at(10), 0)
 	if _, ok := r.Since(9); ok {
 		t.Error("changes before the first listing are not known")
 	}
 	for rev := int64(11); rev < 11+3*logLength; rev++ {
-		r.Apply([]Item{put("a", strconv.FormatInt(rev, 10), rev)}, rev, 0)
+		r.Apply([]Item{put("a", strconv.FormatInt(rev, 10), rev)}, at(rev), 0)
 	}
 	if _, ok := r.Since(12); ok {
 		t.Error("the log is not bounded")
 	}
-	last := r.Position()
+	last := r.Position().Number
 	if items, ok := r.Since(last - 2); !ok || len(items) != 2 {
 		t.Errorf("%d changes, %v", len(items), ok)
 	}
@@ -176,9 +181,9 @@
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		store := New(significant)
-		store.Replace(nil, 1, 0)
+		store.Replace(nil, at(1), 0)
 		a, b := New(significant), New(significant)
-		a.Replace(nil, 1, 0)
+		a.Replace(nil, at(1), 0)
 		seen := map[string]int64{}
 		for rev := int64(2); rev < 60; rev++ {
 			key := strconv.Itoa(rng.IntN(5))
@@ -186,7 +191,7 @@
 			if rng.IntN(4) == 0 {
 				i = gone(key, rev)
 			}
-			store.Apply([]Item{i}, rev, 0)
+			store.Apply([]Item{i}, at(rev), 0)
 			step(rng, store, a)
 			step(rng, a, b)
 			for k, x := range b.items {
@@ -216,7 +221,7 @@
 }
 
 func take(from, to *Replica) {
-	items, ok := from.Since(to.Position())
+	items, ok := from.Since(to.Position().Number)
 	if !ok || !to.Loaded() {
 		to.Replace(from.All(), from.Position(), 0)
 		return
