--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -216,9 +216,9 @@
 func (w *world) operate(r *rand.Rand, until time.Time) {
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(500+r.IntN(2500)) * time.Millisecond)
-		w.store.Put(evacuation, map[string]any{})
+		w.setEvacuated(true)
 		time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
-		w.store.Remove(evacuation)
+		w.setEvacuated(false)
 	}
 }
 
@@ -236,7 +236,8 @@
 	if len(left) < 2 {
 		return false
 	}
-	w.store.Put(evacuation, map[string]any{})
+	w.evacuated = true
+	w.putEvacuation()
 	return true
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 )
@@ -65,17 +66,15 @@
 	}
 	time.Sleep(time.Second)
 	end := time.Now().Add(faultTime)
-	operated := make(chan struct{})
-	go func() {
-		defer close(operated)
-		w.operate(rand.New(rand.NewPCG(seed, 8)), end)
-	}()
+	var beside sync.WaitGroup
+	beside.Go(func() { w.operate(rand.New(rand.NewPCG(seed, 8)), end) })
+	beside.Go(func() { w.drill(rand.New(rand.NewPCG(seed, 9)), end) })
 	for time.Now().Before(end) {
 		w.harm(rng)
 		time.Sleep(time.Duration(rng.IntN(600)) * time.Millisecond)
 	}
 	w.heal()
-	<-operated
+	beside.Wait()
 	evacuated := w.evacuate()
 	time.Sleep(settleTime)
 	w.stop()
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -35,17 +35,19 @@
 	dir   string
 	store *direct.Store
 
-	mu       sync.Mutex
-	nodes    []*node
-	targets  []*tracked
-	version  int
-	extra    bool // the extra route is in the desired state
-	changed  time.Time
-	done     map[string]int
-	stopping atomic.Bool
-	starts   atomic.Int64
-	callers  sync.WaitGroup
-	ran      sync.Map // requests that ran, by their body
+	mu      sync.Mutex
+	nodes   []*node
+	targets []*tracked
+	version int
+	extra   bool // the extra route is in the desired state
+	// evacuated tells that the operator has data centre b evacuated.
+	evacuated bool
+	changed   time.Time
+	done      map[string]int
+	stopping  atomic.Bool
+	starts    atomic.Int64
+	callers   sync.WaitGroup
+	ran       sync.Map // requests that ran, by their body
 
 	asked, answered, lost atomic.Int64
 }
@@ -209,10 +211,32 @@
 // change writes a new desired state, with or without the extra route.
 func (w *world) change() {
 	w.version += 1 + w.version%3
+	w.putCatalogue()
+	w.changed = time.Now()
+}
+
+// putCatalogue writes the desired state.
+func (w *world) putCatalogue() {
 	routes := []direct.Route{{Address: previews, Service: "catalogue"}, {Address: notes, Service: "scan-store", Once: true}}
 	if w.extra {
 		routes = append(routes, direct.Route{Address: extra, Service: "catalogue"})
 	}
 	w.store.PutCatalogue(w.version, routes...)
-	w.changed = time.Now()
+}
+
+// setEvacuated has data centre b evacuated or taken back.
+func (w *world) setEvacuated(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.evacuated = on
+	w.putEvacuation()
+}
+
+// putEvacuation writes whether data centre b is evacuated.
+func (w *world) putEvacuation() {
+	if w.evacuated {
+		w.store.Put(evacuation, map[string]any{})
+	} else {
+		w.store.Remove(evacuation)
+	}
 }
