--- a/internal/router/silent_test.go
+++ b/internal/router/silent_test.go
@@ -60,3 +60,21 @@
 		t.Fatalf("not reset: %+v", out.Actions)
 	}
 }
+
+// A target answers a request, and the answer is lost between the balancer and the caller.
+// The caller repeats its request seconds later, and both ends are reset although the target
+// holds the flow and has just answered on it.
+func TestAnsweredFlowIsNotSilent(t *testing.T) {
+	r, v := newTestRouter(0, 1, 1)
+	out := &Output{}
+	target := open(r, v, time.Second, testCaller, out)
+	req := packet.Build(testCaller, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("GET"))
+	answer := packet.Build(testAddress, testCaller, 5001, 1004, header.TCPFlagAck|header.TCPFlagPsh, []byte("done"))
+	fromCaller(r, 2*time.Second, req, out)
+	fromTarget(r, 2*time.Second+5*time.Millisecond, target, answer, out) // lost after this balancer
+	fromCaller(r, 6*time.Second, req, out)
+	only(t, out, ToTarget)
+	if n := r.Count(ResetSilent); n > 0 {
+		t.Errorf("%d resets of a flow that was answered", n)
+	}
+}
