--- a/internal/router/silent_test.go
+++ b/internal/router/silent_test.go
@@ -65,8 +65,8 @@
 // The caller repeats its request seconds later, and both ends are reset although the target
 // holds the flow and has just answered on it. The request came through a balancer that had
 // yet to learn the flow, so that the home saw both copies; it took the flow's own answer as
-proof that the target answers others ("to caller: R seq 1140850689" 3.1 s after the request,
-with the answer lost in between).
+// proof that the target answers others ("to caller: R seq 1140850689" 3.1 s after the request,
+// with the answer lost in between).
 func TestAnsweredFlowIsNotSilent(t *testing.T) {
 	r, v := newTestRouter(0, 2, 1)
 	out := &Output{}
