No correction to a target whose acceptance the caller has not confirmed

What callers saw: a stream that the former home had opened was reset by another target. The new home, without the handover yet, opened it at that one for a copy of the opening packet; the caller ignored its acceptance. When the caller's target answered, the new home corrected all balancers to its own target, which got the caller's acknowledgement and reset the flow. Now only a confirmed flow corrects others; the caller's next packet shows the home that its record is wrong, and a stray of an earlier flow is told by its numbers as before.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -269,14 +269,20 @@
 //
 // Failure: a port is used again, or an opening was retried, while packets of
 // the former target are on their way; the caller would take them for its own
-// answer. They show as coming from another target than the recorded one.
+// answer. They show as coming from another target than the recorded one. Balancers that
+// learned from them are corrected.
+//
+// Failure: the former home gave the caller a connection to another target than this one,
+// which has yet to hear of it. It shows as a reset by this one's target, to which the
+// correction sends the caller's packets. So nobody is corrected to a target whose
+// acceptance the caller has not confirmed.
 func (c *call) crossed(e *flow.Entry, id uint32) {
 	if c.seg.IsAccept() {
 		c.rejectAccept(id)
 		return
 	}
 	c.r.Note(DropCrossedAnswer)
-	if e.Target == 0 || c.seg.Flags&header.TCPFlagRst != 0 {
+	if e.Target == 0 || e.State == flow.Accepted || c.seg.Flags&header.TCPFlagRst != 0 {
 		return
 	}
 	hop := geneve.Hop{Kind: geneve.Correct, Count: 1, Target: c.v.Targets[e.Target].Addr}
--- a/internal/router/views_test.go
+++ b/internal/router/views_test.go
@@ -220,3 +220,25 @@
 	passed(r, 5*time.Second, v.Nodes[0].Data.Addr(), answer, synAck(c, testAddress), out)
 	only(t, out, ToCaller)
 }
+
+// The former home gave the caller a connection to its target, and this home, which has yet
+// to hear of it, opened the flow at another one whose acceptance the caller ignored. The
+// answers of the caller's target must not be corrected to that other one at all balancers:
+// it would get the caller's packets and reset the flow.
+func TestUnconfirmedAcceptanceCorrectsNobody(t *testing.T) {
+	o := openHere(t)
+	r, c, mine, other, out := o.r, o.caller, o.target, o.other, o.out
+	fromTarget(r, time.Second, mine, synAck(c, testAddress), out)
+	only(t, out, ToCaller)
+	const seq = 1 << 30 // of the other target
+	answer := packet.Build(testAddress, c, seq+1, 1005, header.TCPFlagAck|header.TCPFlagPsh, []byte("done"))
+	fromTarget(r, time.Second, other, answer, out)
+	if len(out.Actions) != 0 || r.Count(DropCrossedAnswer) != 1 {
+		t.Fatalf("actions %+v", out.Actions)
+	}
+	data := packet.Build(c, testAddress, 1005, seq+5, header.TCPFlagAck, nil)
+	fromCaller(r, time.Second, data, out)
+	if a := only(t, out, ToPeer); a.Hop.Kind != geneve.Ask {
+		t.Errorf("the caller's packet went on as %+v", a.Hop)
+	}
+}
