--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -53,7 +53,7 @@
 			up = append(up, n)
 		}
 	}
-	if len(up) < balancers/2 {
+	if len(up) < len(w.nodes)/2 {
 		up = w.nodes
 	}
 	return netip.AddrPortFrom(up[rng.IntN(len(up))].addr, dataPort)
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -145,7 +145,7 @@
 			up = append(up, n)
 		}
 	}
-	if len(up) <= balancers/2 {
+	if len(up) <= len(w.nodes)/2 {
 		return nil
 	}
 	return up[r.IntN(len(up))]
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -31,7 +31,7 @@
 )
 
 // TestSoak runs the seeds that ever failed and a few fresh ones; SOAK_SEEDS sets
-// how many.
+// how many, and SOAK_BALANCERS how many balancers each of them has.
 func TestSoak(t *testing.T) {
 	seeds := append([]uint64{}, regressions...)
 	for range fresh(t) {
@@ -45,14 +45,17 @@
 	}
 }
 
-func fresh(t *testing.T) int {
-	v := os.Getenv("SOAK_SEEDS")
+func fresh(t *testing.T) int { return number(t, "SOAK_SEEDS", 1) }
+
+// number returns what an environment variable sets.
+func number(t *testing.T, name string, otherwise int) int {
+	v := os.Getenv(name)
 	if v == "" {
-		return 1
+		return otherwise
 	}
 	n, err := strconv.Atoi(v)
 	if err != nil {
-		t.Fatalf("SOAK_SEEDS: %v", err)
+		t.Fatalf("%s: %v", name, err)
 	}
 	return n
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -17,9 +17,9 @@
 
 // Size of a soaked deployment.
 const (
-	balancers = 5
-	targets   = 6 // of each service
-	dataPort  = 18500
+	usualBalancers = 5
+	targets        = 6 // of each service
+	dataPort       = 18500
 )
 
 // centre returns the data centre of the i-th balancer or target: both have some of each.
@@ -96,7 +96,7 @@
 		w.addTarget("catalogue")
 		w.addTarget("scan-store")
 	}
-	for i := range balancers {
+	for i := range number(t, "SOAK_BALANCERS", usualBalancers) {
 		w.addNode(i)
 	}
 	for _, n := range w.nodes {
