--- a/internal/direct/evacuation.go
+++ b/internal/direct/evacuation.go
@@ -81,8 +81,8 @@
 // EvacuationInfo is an evacuation as one balancer knows it.
 type EvacuationInfo struct {
 	DataCenter string        `json:"data_center"`
-	Era        int64         `json:"era"`      // of the store, when it was asked for last
-	Revision   int64         `json:"revision"` // the same
+	Era        int64         `json:"era"`      // of the store, for the revision
+	Revision   int64         `json:"revision"` // of the store, when it was asked for last
 	Since      time.Duration `json:"since"`    // how long ago this balancer learnt of it
 	Flows      int           `json:"flows"`    // open there that pass this balancer
 	Busy       int           `json:"busy"`     // requests under way there that pass it
--- a/internal/direct/modelrestart_test.go
+++ b/internal/direct/modelrestart_test.go
@@ -61,11 +61,11 @@
 }
 
 // learnRestored brings a balancer up to what the store says before anybody has written
-// again. What it takes back is put off; see replica.Settling.
+// again. Entries that say less than is known are put off; see replica.Settling.
 func (m *model) learnRestored(i int) {
 	f := m.balancers[i]
 	for _, t := range m.restored {
-		if m.gullible || !f.TakesBack(t) {
+		if m.gullible || !f.KnowsNewer(t) {
 			m.reset(f.PutTarget(m.now, t), ResetRestarted)
 		}
 	}
--- a/internal/direct/restart.go
+++ b/internal/direct/restart.go
@@ -94,10 +94,10 @@
 	return t != nil && !position.Before(t.since)
 }
 
-// TakesBack reports whether a registration, read from a store that has come back from an
-// older copy, says less than is known of the target: that it leaves or is gone, or that it
-// has started again.
-func (f *Forwarder) TakesBack(t Target) bool {
+// KnowsNewer reports whether more is known of a target than a registration says that was
+// read from a store which has come back from an older copy: that the target leaves or is
+// gone, or that it has started again.
+func (f *Forwarder) KnowsNewer(t Target) bool {
 	x := f.targets[t.ID]
 	return x != nil && (x.Born != t.Born || x.departed || x.Draining && !t.Draining)
 }
--- a/internal/direct/restart_test.go
+++ b/internal/direct/restart_test.go
@@ -226,10 +226,10 @@
 	b.want(b.handle(packet(1, streams, ACK, 77)), ResetUnknown)
 }
 
-// The store comes back from an older copy. What its entries say less than is known must not
+// The store comes back from an older copy. Entries that say less than is known must not
 // count until the targets have written again: a target that leaves would get flows, one that
 // has left would come back, and the flows of a start that the copy lacks would be reset.
-func TestOlderCopyTakesBack(t *testing.T) {
+func TestOlderCopySaysLess(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		known func(*fixture, Target) // what happened after the copy was made
@@ -254,11 +254,11 @@
 		x := started(77, 1000, 5)
 		b.f.PutTarget(b.now, x)
 		c.known(b, x)
-		if got := b.f.TakesBack(x); got != c.want {
+		if got := b.f.KnowsNewer(x); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
-	if newFixture(t).f.TakesBack(started(78, 1000, 5)) {
+	if newFixture(t).f.KnowsNewer(started(78, 1000, 5)) {
 		t.Error("nothing is known of the target")
 	}
 }
--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -103,10 +103,10 @@
 	}
 	proven := asked - ch.Age
 	if ch.Full {
-		c.applyCopy(items, ch.At(), proven, from.String())
+		c.applyCopy(items, ch.Revision(), proven, from.String())
 		return
 	}
-	c.applyChanges(c.replica.Merge(items, ch.At(), proven), from.String(), asked)
+	c.applyChanges(c.replica.Merge(items, ch.Revision(), proven), from.String(), asked)
 }
 
 // fetchIfOld asks other balancers in turn while nothing is known at all, or the
--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -35,7 +35,7 @@
 	c.settling.Begin(now, c.settleTime(), known)
 	var out []replica.Item
 	for _, i := range news {
-		if c.takesBack(i) {
+		if c.knowsNewer(i) {
 			c.settling.Hold(i.Key)
 			continue
 		}
@@ -48,9 +48,10 @@
 	return out
 }
 
-// takesBack reports whether an item of a store that has come back from an older copy says
-// less than is known. This balancer's own registration has to be written again in any case.
-func (c *control) takesBack(i replica.Item) bool {
+// knowsNewer reports whether more is known than an item says, or its absence, of a store
+// that has come back from an older copy. This balancer's own registration has to be written
+// again in any case.
+func (c *control) knowsNewer(i replica.Item) bool {
 	switch {
 	case i.Key == c.edge.registration():
 		return false
@@ -65,7 +66,7 @@
 	}
 	c.edge.mu.Lock()
 	defer c.edge.mu.Unlock()
-	return c.edge.forward.TakesBack(t)
+	return c.edge.forward.KnowsNewer(t)
 }
 
 // settleIfDue puts in force what was put off, as the copy has it now.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -57,7 +57,7 @@
 		c.log.Info("balancer leaves", zap.String("peer", h.From))
 	}
 	if n == nil || now-n.heard > peerSilent {
-		c.log.Info("balancer heard", zap.String("peer", h.From), zap.Stringer("position", h.At()), zap.Int64("version", h.Version))
+		c.log.Info("balancer heard", zap.String("peer", h.From), zap.Stringer("position", h.Revision()), zap.Int64("version", h.Version))
 	}
 	if n == nil {
 		n = &neighbour{}
@@ -78,7 +78,7 @@
 	if h.Position == 0 {
 		return false
 	}
-	switch c.replica.Confirm(h.At(), h.LastChange, h.History, now-h.Age) {
+	switch c.replica.Confirm(h.Revision(), h.LastChange, h.History, now-h.Age) {
 	case replica.Behind:
 		return true
 	case replica.Unproven:
@@ -95,7 +95,7 @@
 		c.edge.mu.Lock()
 		var news bool
 		var lost []direct.Segment
-		if c.edge.forward.SameStart(id, h.At()) {
+		if c.edge.forward.SameStart(id, h.Revision()) {
 			news = c.edge.forward.PeerSuspects(now, id)
 			if dead {
 				lost = c.edge.forward.PeerFoundDead(now, id)
@@ -144,7 +144,7 @@
 		}
 		for _, u := range n.last.Loads {
 			id := direct.TargetID(u.ID)
-			if !c.edge.forward.SameStart(id, n.last.At()) {
+			if !c.edge.forward.SameStart(id, n.last.Revision()) {
 				continue
 			}
 			out[id] = out[id].Plus(direct.Load{Flows: u.Flows, Busy: u.Busy})
@@ -164,7 +164,7 @@
 		}
 		for _, o := range n.last.Outcomes {
 			id := direct.TargetID(o.ID)
-			if !c.edge.forward.SameStart(id, n.last.At()) {
+			if !c.edge.forward.SameStart(id, n.last.Revision()) {
 				continue
 			}
 			out[id] = out[id].Plus(o.Outcome().Faded(now - n.heard))
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -64,8 +64,10 @@
 	Settling time.Duration `cbor:"16,keyasint,omitempty"`
 }
 
-// At returns the revision up to which the sender's copy is complete.
-func (h Heartbeat) At() revision.Revision { return revision.Revision{Era: h.Era, Number: h.Position} }
+// Revision returns the one up to which the sender's copy is complete.
+func (h Heartbeat) Revision() revision.Revision {
+	return revision.Revision{Era: h.Era, Number: h.Position}
+}
 
 // TargetUse is what the sender's flows hold at a target, as an array to keep
 // heartbeats short.
@@ -113,8 +115,10 @@
 	Era      int64         `cbor:"5,keyasint,omitempty"` // of the store, for all revisions here
 }
 
-// At returns the revision up to which the changes complete a copy.
-func (c *Changes) At() revision.Revision { return revision.Revision{Era: c.Era, Number: c.Position} }
+// Revision returns the one up to which the changes complete a copy.
+func (c *Changes) Revision() revision.Revision {
+	return revision.Revision{Era: c.Era, Number: c.Position}
+}
 
 // Encode encodes a message.
 func Encode(m any) ([]byte, error) {
--- a/internal/replica/settling.go
+++ b/internal/replica/settling.go
@@ -10,14 +10,14 @@
 // written again.
 const minSettle = 2 * time.Second
 
-// Settling puts off what a store that has come back from an older copy takes back. The
-// operator and the targets write again what they had written since the copy was made, the
-// targets with their next heartbeats; until then the store says less than is known.
+// Settling puts off what a store that has come back from an older copy undoes. The operator
+// and the targets write again what they had written since the copy was made, the targets
+// with their next heartbeats; until then the store says less than is known.
 //
 // Failure: a target registered after the copy was made, or said that it leaves, or has
 // left. It shows as a living target that is taken for gone, and as openings that are sent
-// to one that is not. So removals and what a target takes back count only if they still
-// hold once the store has settled.
+// to one that is not. So what is undone counts only if it still holds once the store has
+// settled.
 type Settling struct {
 	until  time.Duration
 	proven time.Duration // of the last copy that lacked nothing
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -12,9 +12,9 @@
 type Revision struct {
 	// Era counts how often the store has come back from an older copy. It is 0 if the
 	// store does not tell.
-	Era int64 `json:"era"`
+	Era int64
 	// Number grows with every write of an era.
-	Number int64 `json:"number"`
+	Number int64
 }
 
 // Compare returns -1, 0 or 1 if r was before o, is the same, or came after it.
