--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -50,19 +50,26 @@
 	d.store.Put(platform.CatalogueKey, desired(5, previews, newRoute))
 	leaving.Drain()
 	time.Sleep(d.balancers[0].boot.Apply)
+	d.inForce(leaving)
+}
+
+// inForce checks that every balancer serves the route that was added, resets flows of the
+// one that was dropped, and opens none at a target that leaves.
+func (d *deployment) inForce(leaving *direct.Target) {
+	d.t.Helper()
 	opened := leaving.Opened.Load()
 	for i, b := range d.balancers {
 		if _, err := d.ask(b, newRoute); err != nil {
-			t.Errorf("balancer %d: route that was added: %v", i, err)
+			d.t.Errorf("balancer %d: route that was added: %v", i, err)
 		}
 		if _, err := d.ask(b, scans); !errors.Is(err, direct.ErrReset) {
-			t.Errorf("balancer %d: route that was dropped: %v, want a reset", i, err)
+			d.t.Errorf("balancer %d: route that was dropped: %v, want a reset", i, err)
 		}
 		for range 10 {
 			d.mustAsk(b, previews)
 		}
 	}
 	if n := leaving.Opened.Load() - opened; n > 0 {
-		t.Errorf("%d flows were opened at the target that leaves", n)
+		d.t.Errorf("%d flows were opened at the target that leaves", n)
 	}
 }
--- a/internal/edge/settle_test.go
+++ b/internal/edge/settle_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"errors"
 	"slices"
 	"strings"
 	"testing"
@@ -92,22 +91,8 @@
 	leaving.Drain()
 	d.store.Put(platform.CatalogueKey, desired(4, previews, newRoute))
 	time.Sleep(longUnsettled)
-	opened := leaving.Opened.Load()
 	d.loseSince(backup)
-	for i, b := range d.balancers {
-		if _, err := d.ask(b, newRoute); err != nil {
-			t.Errorf("balancer %d: route that was added: %v", i, err)
-		}
-		if _, err := d.ask(b, scans); !errors.Is(err, direct.ErrReset) {
-			t.Errorf("balancer %d: route that was dropped: %v, want a reset", i, err)
-		}
-		for range 10 {
-			d.mustAsk(b, previews)
-		}
-	}
-	if n := leaving.Opened.Load() - opened; n > 0 {
-		t.Errorf("%d flows were opened at the target that leaves", n)
-	}
+	d.inForce(leaving)
 }
 
 // Two balancers register, and the store comes back from a copy that was made before. Nobody
--- a/internal/router/silent_test.go
+++ b/internal/router/silent_test.go
@@ -38,6 +38,15 @@
 	}
 }
 
+// askedFor hands the caller's request to its home as from another balancer that does not
+// know the flow.
+func askedFor(r *Router, v *View, now time.Duration, out *Output) {
+	out.Reset()
+	req := packet.Build(testCaller, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("GET"))
+	hop := geneve.Hop{Kind: geneve.Ask, Count: 1}
+	r.Handle(now, v.Nodes[1].Data.Addr(), &geneve.Datagram{VNI: testService, Hop: hop, HasHop: true, Inner: req}, out)
+}
+
 // A young stream goes silent, and the caller's repeated segment arrives through
 // balancers that never saw one of its answers, so that they ask its home. Those
 // repeats count too: each that does not doubles the time until the reset.
@@ -47,12 +56,7 @@
 	open(r, v, time.Second, testCaller, out)
 	other := netip.AddrPortFrom(testCaller.Addr(), 41000)
 	open(r, v, 6*time.Second, other, out)
-	req := packet.Build(testCaller, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("GET"))
-	asked := func(now time.Duration) {
-		out.Reset()
-		hop := geneve.Hop{Kind: geneve.Ask, Count: 1}
-		r.Handle(now, v.Nodes[1].Data.Addr(), &geneve.Datagram{VNI: testService, Hop: hop, HasHop: true, Inner: req}, out)
-	}
+	asked := func(now time.Duration) { askedFor(r, v, now, out) }
 	asked(4 * time.Second)
 	only(t, out, ToTarget)
 	asked(8 * time.Second)
@@ -71,12 +75,7 @@
 	r, v := newTestRouter(0, 2, 1)
 	out := &Output{}
 	target := open(r, v, time.Second, testCaller, out)
-	req := packet.Build(testCaller, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("GET"))
-	asked := func(now time.Duration) {
-		out.Reset()
-		hop := geneve.Hop{Kind: geneve.Ask, Count: 1}
-		r.Handle(now, v.Nodes[1].Data.Addr(), &geneve.Datagram{VNI: testService, Hop: hop, HasHop: true, Inner: req}, out)
-	}
+	asked := func(now time.Duration) { askedFor(r, v, now, out) }
 	asked(4 * time.Second)
 	answer := packet.Build(testAddress, testCaller, 5001, 1004, header.TCPFlagAck|header.TCPFlagPsh, []byte("done"))
 	fromTarget(r, 4*time.Second+5*time.Millisecond, target, answer, out)
