--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -18,7 +18,7 @@
 )
 
 // pure packages decide without sockets, files, clocks and logs.
-var pure = []string{"balance", "catalogue", "converge", "direct", "flow", "geneve", "member", "packet", "rendezvous", "replica", "router", "slowstart", "wire"}
+var pure = []string{"balance", "catalogue", "converge", "direct", "flow", "geneve", "member", "packet", "rendezvous", "replica", "revision", "router", "slowstart", "wire"}
 
 var forbidden = map[string]bool{
 	"net": true, "net/http": true, "os": true, "log": true, "log/slog": true,
