Finding: a request ran twice in one soaked run; the report names where it ran

The stand-in of targets now records each run with the target and its start, so that a further failure tells whether two targets or two starts of one ran it.

--- a/internal/edgedemo/demo.go
+++ b/internal/edgedemo/demo.go
@@ -65,9 +65,9 @@
 		}
 	}
 	c.end()
-	ran.Range(func(body, times any) bool {
-		if n := times.(int); n > 1 {
-			c.breach("request %v ran %d times", body, n)
+	ran.Range(func(body, runs any) bool {
+		if at := runs.([]string); len(at) > 1 {
+			c.breach("request %v ran %d times: %v", body, len(at), at)
 		}
 		return true
 	})
--- a/internal/standin/direct/target.go
+++ b/internal/standin/direct/target.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -32,7 +33,7 @@
 	Opened  atomic.Int64 // openings that it answered
 	Ran     atomic.Int64 // requests that it worked on
 	Foreign atomic.Int64 // packets of flows that it does not hold
-	// Log takes how often each request ran, by its body; nil for no record.
+	// Log takes each run of a request, as a list by its body; nil for no record.
 	Log    *sync.Map
 	silent atomic.Bool
 	pace   atomic.Int64 // time that a request takes
@@ -188,8 +189,9 @@
 	if t.Log == nil {
 		return
 	}
-	n, _ := t.Log.LoadOrStore(body, 0)
-	t.Log.Store(body, n.(int)+1)
+	runs, _ := t.Log.LoadOrStore(body, []string(nil))
+	run := fmt.Sprintf("%s born %d at %s", t.Name(), t.Reg.Born, time.Now().UTC().Format(time.RFC3339Nano))
+	t.Log.Store(body, append(slices.Clone(runs.([]string)), run))
 }
 
 // work answers a request once.
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -159,9 +159,9 @@
 			w.t.Errorf("target %s of an evacuated data centre got %d new flows", x.Name(), n)
 		}
 	}
-	w.ran.Range(func(body, times any) bool {
-		if n := times.(int); n > 1 && body != "settled" {
-			w.t.Errorf("request %v ran %d times", body, n)
+	w.ran.Range(func(body, runs any) bool {
+		if at := runs.([]string); len(at) > 1 && body != "settled" {
+			w.t.Errorf("request %v ran %d times: %v", body, len(at), at)
 		}
 		return true
 	})
