--- a/internal/direct/model_test.go
+++ b/internal/direct/model_test.go
@@ -172,12 +172,6 @@
 	}
 }
 
-func (m *model) mayReset(fl *modelFlow, why Reason) {
-	if !fl.lost() && !fl.target.waits && !fl.dropped {
-		m.fail("%v: a flow of a living target was reset", why)
-	}
-}
-
 func (m *model) checked(i int, x *modelTarget, reachable bool) {
 	finding := Alive
 	switch {
@@ -201,9 +195,6 @@
 	}
 }
 
-// lost reports whether the start of the target that held the flow has ended.
-func (fl *modelFlow) lost() bool { return fl.target.ended || fl.target.start != fl.start }
-
 func (m *model) step(t *rapid.T) {
 	i := rapid.IntRange(0, len(m.balancers)-1).Draw(t, "balancer")
 	j := rapid.IntRange(0, len(m.balancers)-1).Draw(t, "other balancer")
@@ -287,16 +278,3 @@
 	}
 	return open[rapid.IntRange(0, len(open)-1).Draw(t, "flow")]
 }
-
-func (m *model) invariants() {
-	for i, f := range m.balancers {
-		for id, x := range f.targets {
-			if x.flows < 0 || x.busy < 0 {
-				m.fail("balancer %d counts %d flows and %d requests at %x", i, x.flows, x.busy, uint64(id))
-			}
-		}
-		if f.Flows() > 50 {
-			m.fail("balancer %d has %d flows in its table", i, f.Flows())
-		}
-	}
-}
--- /dev/null
+++ b/internal/direct/modelchecks_test.go
@@ -0,0 +1,23 @@
+package direct
+
+func (m *model) mayReset(fl *modelFlow, why Reason) {
+	if !fl.lost() && !fl.target.waits && !fl.dropped {
+		m.fail("%v: a flow of a living target was reset", why)
+	}
+}
+
+// lost reports whether the start of the target that held the flow has ended.
+func (fl *modelFlow) lost() bool { return fl.target.ended || fl.target.start != fl.start }
+
+func (m *model) invariants() {
+	for i, f := range m.balancers {
+		for id, x := range f.targets {
+			if x.flows < 0 || x.busy < 0 {
+				m.fail("balancer %d counts %d flows and %d requests at %x", i, x.flows, x.busy, uint64(id))
+			}
+		}
+		if f.Flows() > 50 {
+			m.fail("balancer %d has %d flows in its table", i, f.Flows())
+		}
+	}
+}
--- a/internal/direct/replaycheck_test.go
+++ b/internal/direct/replaycheck_test.go
@@ -38,12 +38,7 @@
 	}
 	r.after(limit, end(Hung))
 	q := &simRequest{work: time.Millisecond, check: end(Alive)}
-	switch {
-	case s.running < simSlots:
-		r.start(s, q)
-	case len(s.queue) < simQueue:
-		s.queue = append(s.queue, q)
-	default:
+	if !r.admit(s, q) {
 		r.after(simTurnedAway, q.check)
 	}
 }
--- a/internal/direct/replayflow_test.go
+++ b/internal/direct/replayflow_test.go
@@ -132,15 +132,23 @@
 }
 
 func (r *replay) arrive(t *simTarget, q *simRequest) {
+	if !r.admit(t, q) {
+		r.shed++
+		r.after(simCaller, func() { r.broken(q.flow) })
+	}
+}
+
+// admit starts a request at a target or puts it into its queue, unless that is full.
+func (r *replay) admit(t *simTarget, q *simRequest) bool {
 	switch {
 	case t.running < simSlots:
 		r.start(t, q)
 	case len(t.queue) < simQueue:
 		t.queue = append(t.queue, q)
 	default:
-		r.shed++
-		r.after(simCaller, func() { r.broken(q.flow) })
+		return false
 	}
+	return true
 }
 
 func (r *replay) start(t *simTarget, q *simRequest) {
--- /dev/null
+++ b/internal/edge/bare_test.go
@@ -0,0 +1,28 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"rosedale.dev/rosedale/internal/peer"
+	"rosedale.dev/rosedale/internal/replica"
+	"rosedale.dev/rosedale/internal/revision"
+	"rosedale.dev/rosedale/platform"
+)
+
+// at is a revision of a store that tells no era.
+func at(number int64) revision.Revision { return revision.Revision{Number: number} }
+
+// bareControl is the control state of balancer a1 of data centre a, without
+// sockets, for tests of single decisions.
+func bareControl(t testing.TB) *control {
+	t.Helper()
+	e := &Edge{boot: platform.Boot{VM: "a1", DataCenter: "a"}, start: time.Now(), ready: &ready{}}
+	log, err := NewLogger(&output{}, "info", e.boot)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(log.Close)
+	return &control{edge: e, log: log, fleet: peer.NewFleet(e.member()), peers: map[string]*neighbour{},
+		replica: replica.New(platform.Significant)}
+}
--- a/internal/edge/lease_test.go
+++ b/internal/edge/lease_test.go
@@ -46,7 +46,7 @@
 		if b.lease.busy {
 			b.lease.renewed(b, 5, nil)
 		}
-		if got := b.lease.id == 0 && b.lease.due <= b.now(); got != c.again && c.lease != (lease{}) {
+		if got := b.lease.id == 0 && b.lease.due <= b.now(); got != c.again {
 			t.Errorf("%s: registers again %v, want %v", c.name, got, c.again)
 		}
 	}
--- a/internal/edgedemo/demo.go
+++ b/internal/edgedemo/demo.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"slices"
-	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -42,7 +41,7 @@
 
 // run plays all steps and prints what callers got in each.
 func run(d *deployment) error {
-	var ran sync.Map // requests that ran, by their body
+	var ran direct.RunLog
 	for _, t := range d.targets {
 		t.Log = &ran
 	}
@@ -65,12 +64,9 @@
 		}
 	}
 	c.end()
-	ran.Range(func(body, runs any) bool {
-		if at := runs.([]string); len(at) > 1 {
-			c.breach("request %v ran %d times: %v", body, len(at), at)
-		}
-		return true
-	})
+	for body, at := range ran.Repeated() {
+		c.breach("request %s ran %d times: %v", body, len(at), at)
+	}
 	if err := w.Flush(); err != nil {
 		return errors.Wrap(err, "demo: table")
 	}
--- a/internal/router/views_test.go
+++ b/internal/router/views_test.go
@@ -49,6 +49,19 @@
 	return o
 }
 
+// openFormer opens a stream at a balancer that decides on it though another one is its
+// home by now.
+func openFormer(t *testing.T, targets int) openedHere {
+	t.Helper()
+	o := openedHere{out: &Output{}}
+	o.r, o.v = newTestRouter(1, 2, targets)
+	o.caller = callerOf(o.v, 0)
+	opening := geneve.Hop{Kind: geneve.Opening, Count: openingHops}
+	passed(o.r, time.Second, o.v.Nodes[0].Data.Addr(), opening, syn(o.caller, testAddress, 1000), o.out)
+	o.target = only(t, o.out, ToTarget).Target
+	return o
+}
+
 // otherThan returns a target that is not mine.
 func otherThan(v *View, mine netip.Addr) netip.Addr {
 	if v.Targets[1].Addr != mine {
@@ -183,12 +196,8 @@
 // former one, which has the stream at another target. Nobody may give the caller
 // a connection to a target that is about to be reset.
 func TestFormerHomeWithAnotherTargetRejects(t *testing.T) {
-	r, v := newTestRouter(1, 2, 2)
-	out := &Output{}
-	c := callerOf(v, 0)
-	opening := geneve.Hop{Kind: geneve.Opening, Count: openingHops}
-	passed(r, time.Second, v.Nodes[0].Data.Addr(), opening, syn(c, testAddress, 1000), out)
-	mine := only(t, out, ToTarget).Target
+	o := openFormer(t, 2)
+	r, v, c, mine, out := o.r, o.v, o.caller, o.target, o.out
 	other := otherThan(v, mine)
 	hop := geneve.Hop{Kind: geneve.Answer, Count: openingHops, Flags: geneve.FlagFormer, Target: mine}
 	passed(r, time.Second, v.Nodes[0].Data.Addr(), hop, synAck(c, testAddress), out)
@@ -206,12 +215,8 @@
 // acceptance has no room for it and passes it on to the former one, which has. A reset sent
 // to the target there would end the connection that a further copy has opened meanwhile.
 func TestFormerHomeTakesTheAcceptanceItWaitsFor(t *testing.T) {
-	r, v := newTestRouter(1, 2, 1)
-	out := &Output{}
-	c := callerOf(v, 0)
-	opening := geneve.Hop{Kind: geneve.Opening, Count: openingHops}
-	passed(r, time.Second, v.Nodes[0].Data.Addr(), opening, syn(c, testAddress, 1000), out)
-	target := only(t, out, ToTarget).Target
+	o := openFormer(t, 1)
+	r, v, c, target, out := o.r, o.v, o.caller, o.target, o.out
 	refusal := packet.Build(testAddress, c, 0, 1001, header.TCPFlagRst|header.TCPFlagAck, nil)
 	answer := geneve.Hop{Kind: geneve.Answer, Count: openingHops, Target: target}
 	passed(r, time.Second, v.Nodes[0].Data.Addr(), answer, refusal, out)
--- a/internal/standin/direct/target.go
+++ b/internal/standin/direct/target.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,8 +32,8 @@
 	Opened  atomic.Int64 // openings that it answered
 	Ran     atomic.Int64 // requests that it worked on
 	Foreign atomic.Int64 // packets of flows that it does not hold
-	// Log takes each run of a request, as a list by its body; nil for no record.
-	Log    *sync.Map
+	// Log takes each run of a request; nil for no record.
+	Log    *RunLog
 	silent atomic.Bool
 	pace   atomic.Int64 // time that a request takes
 
@@ -180,20 +179,13 @@
 	case len(body) > 0 && h.seq == fl.next:
 		fl.next += uint32(len(body))
 		t.Ran.Add(1)
-		t.record(body)
+		if t.Log != nil {
+			t.Log.add(body, t)
+		}
 		go t.work(h, fl, body)
 	}
 }
 
-func (t *Target) record(body string) {
-	if t.Log == nil {
-		return
-	}
-	runs, _ := t.Log.LoadOrStore(body, []string(nil))
-	run := fmt.Sprintf("%s born %d at %s", t.Name(), t.Reg.Born, time.Now().UTC().Format(time.RFC3339Nano))
-	t.Log.Store(body, append(slices.Clone(runs.([]string)), run))
-}
-
 // work answers a request once.
 func (t *Target) work(h head, fl *targetFlow, body string) {
 	time.Sleep(time.Duration(t.pace.Load()))
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -159,10 +159,9 @@
 			w.t.Errorf("target %s of an evacuated data centre got %d new flows", x.Name(), n)
 		}
 	}
-	w.ran.Range(func(body, runs any) bool {
-		if at := runs.([]string); len(at) > 1 && body != "settled" {
-			w.t.Errorf("request %v ran %d times: %v", body, len(at), at)
+	for body, at := range w.ran.Repeated() {
+		if body != "settled" {
+			w.t.Errorf("request %s ran %d times: %v", body, len(at), at)
 		}
-		return true
-	})
+	}
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -42,12 +42,11 @@
 	extra   bool // the extra route is in the desired state
 	// evacuated tells that the operator has data centre b evacuated.
 	evacuated bool
-	changed   time.Time
 	done      map[string]int
 	stopping  atomic.Bool
 	starts    atomic.Int64
 	callers   sync.WaitGroup
-	ran       sync.Map // requests that ran, by their body
+	ran       direct.RunLog
 
 	asked, answered, lost atomic.Int64
 }
@@ -212,7 +211,6 @@
 func (w *world) change() {
 	w.version += 1 + w.version%3
 	w.putCatalogue()
-	w.changed = time.Now()
 }
 
 // putCatalogue writes the desired state.
