--- a/internal/standin/direct/target.go
+++ b/internal/standin/direct/target.go
@@ -92,10 +92,10 @@
 // its last start.
 func (t *Target) Restart(born int64) error {
 	t.silent.Store(false)
+	t.Reg.Sequence, t.Reg.State, t.Reg.Born = 0, "ready", born // before a request can run
 	if err := t.listen(t.Reg.Address); err != nil {
 		return err
 	}
-	t.Reg.Sequence, t.Reg.State, t.Reg.Born = 0, "ready", born
 	t.Register()
 	return nil
 }
