A probe ends only with an answer that continues the caller's numbers

A flow that nobody knew was probed; a candidate with a half-open connection of the caller, from a copy of its opening, answered a further copy with a bare acknowledgement ('answer of target 3: A seq ack 6291457') and was taken for the flow's target, although the caller's packets acknowledge. It reset the caller's next packet, and the caller believed that.

Mend: while a candidate is probed, only a reset, or an answer near the number that the caller's packet acknowledges, decides; others are dropped as crossed. TestBareAcknowledgementEndsNoProbe fails without it (the bare acknowledgement is delivered).

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -131,6 +131,8 @@
 		c.targetReset(e)
 	case c.seg.IsAccept():
 		c.accepted(e)
+	case e.State == flow.Probing && !c.answersProbe(e):
+		c.r.Note(DropCrossedAnswer)
 	case e.State == flow.Opening:
 		// A challenge to the opening from an older flow of the same ports:
 		// the caller answers it with a reset that clears the way.
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -18,6 +18,7 @@
 // probe is a packet of a flow whose target nobody remembers.
 type probe struct {
 	packet     []byte
+	ack        uint32 // of that packet: the number that the flow's target goes on with
 	candidates []uint32
 	began      time.Duration
 }
@@ -42,6 +43,7 @@
 	}
 	pr := &probe{
 		packet:     append([]byte(nil), c.seg.Raw...),
+		ack:        c.seg.Ack,
 		candidates: p.Order(c.flow),
 		began:      c.now,
 	}
@@ -78,6 +80,17 @@
 	c.out.target(c.v, e.Target, c.seg.Raw)
 }
 
+// answersProbe reports whether an answer of the candidate that is being probed continues
+// the numbers that the caller acknowledged.
+//
+// Failure: a candidate has a half-open connection of the same caller, and answers a copy of
+// the opening packet with a bare acknowledgement. It shows as a flow that is given to it,
+// whose next packet it resets.
+func (c *call) answersProbe(e *flow.Entry) bool {
+	p := c.r.probes[e.Key]
+	return p == nil || near(c.seg.Seq, p.ack)
+}
+
 // nobodyHas ends a probe that every candidate rejected with a reset to the
 // caller, so that it reconnects rather than hangs.
 //
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -210,10 +210,12 @@
 // a random place in each flow. The packet then goes to the home, through which
 // the new opening passed.
 func sameIncarnation(e *flow.Entry, seq uint32) bool {
-	d := seq - e.Seq
-	return e.Seq == 0 || d < seqSpan || -d < seqSpan
+	return e.Seq == 0 || near(seq, e.Seq)
 }
 
+// near reports whether two sequence numbers of one direction may belong to one flow.
+func near(a, b uint32) bool { return a-b < seqSpan || b-a < seqSpan }
+
 func (c *call) fromTarget(vni uint32, from netip.Addr) {
 	c.addr = c.v.address(c.seg.Src)
 	if c.addr == nil || c.addr.Service != vni {
--- a/internal/router/views_test.go
+++ b/internal/router/views_test.go
@@ -247,3 +247,23 @@
 		t.Errorf("the caller's packet went on as %+v", a.Hop)
 	}
 }
+
+// A candidate with a half-open connection of the caller answers a copy of its opening while
+// it is probed, and is taken for the flow's target.
+func TestBareAcknowledgementEndsNoProbe(t *testing.T) {
+	r, v := newTestRouter(0, 1, 2)
+	out := &Output{}
+	data := packet.Build(testCaller, testAddress, 1001, 1<<30, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
+	fromCaller(r, time.Second, data, out)
+	probed := only(t, out, ToTarget).Target
+	bare := packet.Build(testAddress, testCaller, 5001, 1001, header.TCPFlagAck, nil)
+	fromTarget(r, time.Second, probed, bare, out)
+	if len(out.Actions) != 0 || r.Count(DropCrossedAnswer) != 1 {
+		t.Fatalf("actions %+v", out.Actions)
+	}
+	reset := packet.Build(testAddress, testCaller, 1<<30, 0, header.TCPFlagRst, nil)
+	fromTarget(r, time.Second, probed, reset, out)
+	if a := only(t, out, ToTarget); a.Target != otherThan(v, probed) {
+		t.Fatalf("the next candidate was not tried: %+v", a)
+	}
+}
