A target whose acceptance is dropped is reset only once its caller is elsewhere

A home that gets a SYN-ACK of another target than its own dropped it and reset that target at once. The reset carries the number after the caller's opening, which every connection of that opening has: where another home had given the caller that very target, or opened it there with a further copy before the reset came, the reset ended the caller's connection. Three places did so: a home with another target recorded, a former home that had forgotten the opening, and a home that had refused it.

Sight first: a failing run now tells each balancer's reasons for resets.

The reset goes out only once the caller has confirmed the flow at the recorded target; until then the target repeats its SYN-ACK. One that comes after a refusal is passed to the caller if the target has room: the caller alone knows whether it took the refusal, and resets the connection if it did. New counter packets_reset_left.

Remembering rejected targets was tried earlier and did not help: the other homes do not know them.

Three asserted the reset before the caller's confirmation, which is the fault: TestLateAcceptanceIsDroppedAndReset, TestCrossedAcceptanceIsForTheFormerHome and TestFormerHomeWithAnotherTargetRejects demand now that nothing is sent before it, and the same reset after it. TestAcceptanceAfterRefusalIsTheCallersToJudge is new.

--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -55,7 +55,7 @@
 func TestBrokenVariantIsCaught(t *testing.T) {
 	r := Explore(Bounds{
 		Balancers: 2, Targets: 2, Depth: 40, States: 200000, Ticks: 2,
-		Class: catalogue.Stream, Alone: true,
+		Class: catalogue.Stream, Alone: true, Hasty: true,
 	})
 	t.Logf("%d states to depth %d", r.States, r.Depth)
 	if r.Violation == "" {
--- a/internal/model/random_test.go
+++ b/internal/model/random_test.go
@@ -53,10 +53,12 @@
 			}
 			w.take(s)
 			if v := w.violation(); v != "" {
+				w.logResets(t.Logf)
 				t.Fatal(v)
 			}
 		}
 		if v := w.settle(t.Logf); v != "" {
+			w.logResets(t.Logf)
 			t.Fatal(v)
 		}
 	})
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -40,6 +40,7 @@
 	Drains    int  // the first targets drain one by one, seen at different times
 	BareAcks  bool // targets answer repeated openings with bare acknowledgements
 	Alone     bool // a broken variant: no balancer knows of the others
+	Hasty     bool // a broken variant: a target is reset as soon as its SYN-ACK is dropped
 }
 
 func (b Bounds) defaults() Bounds {
@@ -174,8 +175,19 @@
 		src = w.targets[f.index].addr
 	}
 	b.r.Alive(b.now)
+	dropped := b.r.Count(router.DropLateAccept)
 	b.r.Handle(b.now, src, &d, &w.out)
 	w.apply(f.sender)
+	if w.b.Hasty && b.r.Count(router.DropLateAccept) > dropped {
+		w.resetSender(&f)
+	}
+}
+
+// resetSender resets the target that sent a SYN-ACK.
+func (w *world) resetSender(f *flight) {
+	if seg, err := packet.Parse(f.b); err == nil {
+		w.send(flight{where: toTarget, index: f.sender, vni: service, sender: -1, b: packet.ResetTo(&seg)})
+	}
 }
 
 // apply puts a router's actions on the network. Packets that a router built
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -280,7 +280,7 @@
 // acceptance the caller has not confirmed.
 func (c *call) crossed(e *flow.Entry, id uint32) {
 	if c.seg.IsAccept() {
-		c.rejectAccept(id)
+		c.rejectAccept(e, true, id)
 		return
 	}
 	c.r.Note(DropCrossedAnswer)
--- a/internal/router/failures_test.go
+++ b/internal/router/failures_test.go
@@ -112,9 +112,8 @@
 	}
 }
 
-// A target accepts an opening after the balancer gave up on it and sent the
-// opening elsewhere. The caller must only ever see the second target, and the
-// first one is reset so that nothing runs there.
+// A target accepts an opening after the balancer gave up on it and sent the opening
+// elsewhere: the caller must not see it, and it is reset once the caller has the other one.
 func TestLateAcceptanceIsDroppedAndReset(t *testing.T) {
 	r, _ := newTestRouter(0, 1, 3)
 	out := &Output{}
@@ -122,16 +121,53 @@
 	first := only(t, out, ToTarget).Target
 	out.Reset()
 	r.Tick(1600*time.Millisecond, out)
-	fromTarget(r, 1700*time.Millisecond, first, synAck(testCaller, testAddress), out)
+	second := only(t, out, ToTarget).Target
+	late := func(now time.Duration) { fromTarget(r, now, first, synAck(testCaller, testAddress), out) }
+	late(1700 * time.Millisecond)
+	if len(out.Actions) != 0 || r.Count(DropLateAccept) != 1 {
+		t.Fatalf("actions %+v", out.Actions)
+	}
+	fromTarget(r, 1800*time.Millisecond, second, synAck(testCaller, testAddress), out)
+	only(t, out, ToCaller)
+	late(1800 * time.Millisecond)
+	if len(out.Actions) != 0 {
+		t.Fatalf("reset before the caller confirmed: %+v", out.Actions)
+	}
+	fromCaller(r, 1900*time.Millisecond, packet.Build(testCaller, testAddress, 1001, 5001, header.TCPFlagAck, nil), out)
+	late(2700 * time.Millisecond)
 	a := only(t, out, ToTarget)
 	if seg := parsed(t, a); a.Target != first || !seg.IsReset() || seg.Seq != 1001 {
 		t.Fatalf("the late target got %+v", a)
 	}
-	if r.Count(DropLateAccept) != 1 {
+	if r.Count(DropLateAccept) != 3 || r.Count(ResetLeft) != 1 {
 		t.Fatal("not counted")
 	}
 }
 
+// A refusal is overtaken by a connection that another home gave the caller: the refused
+// opening's home resets its target, and with it the caller's connection.
+func TestAcceptanceAfterRefusalIsTheCallersToJudge(t *testing.T) {
+	r, v := newTestRouter(0, 2, 1)
+	out := &Output{}
+	c := callerOf(v, 0)
+	fromCaller(r, time.Second, syn(c, testAddress, 1000), out)
+	target := only(t, out, ToTarget).Target
+	for at := 1600 * time.Millisecond; r.Count(RefuseUnanswered) == 0; at += 600 * time.Millisecond {
+		r.Tick(at, out)
+	}
+	fromTarget(r, 5*time.Second, target, synAck(c, testAddress), out)
+	if seg := parsed(t, only(t, out, ToCaller)); !seg.IsAccept() {
+		t.Fatalf("the caller got %+v", seg)
+	}
+	fromCaller(r, 5*time.Second, packet.Build(c, testAddress, 1001, 0, header.TCPFlagRst, nil), out)
+	if a := only(t, out, ToTarget); a.Target != target || !parsedReset(t, a) {
+		t.Fatalf("the caller's reset went on as %+v", a)
+	}
+	if n := r.pools[testService].Used(1, balance.Connection); n != 0 {
+		t.Fatalf("%d connections are counted", n)
+	}
+}
+
 // A port is used again after its flow ended, and the new flow went to another
 // target. A late segment of the former target would end up in the new flow's
 // stream; it is dropped.
--- a/internal/router/former.go
+++ b/internal/router/former.go
@@ -8,10 +8,26 @@
 	"rosedale.dev/rosedale/internal/packet"
 )
 
-// rejectAccept drops a SYN-ACK and resets the target that sent it.
-func (c *call) rejectAccept(id uint32) {
+// rejectAccept drops a SYN-ACK of a target that is not the flow's. The target is reset
+// once the caller is known to be elsewhere: it repeats its SYN-ACK until then. A reset
+// sent earlier may reach the target after another home has given it to the caller, as it
+// carries the number that the caller uses there.
+func (c *call) rejectAccept(e *flow.Entry, known bool, id uint32) {
 	c.r.Note(DropLateAccept)
-	c.out.target(c.v, id, packet.ResetTo(&c.seg))
+	if known && c.callerElsewhere(e) {
+		c.r.Note(ResetLeft)
+		c.out.target(c.v, id, packet.ResetTo(&c.seg))
+	}
+}
+
+// callerElsewhere reports whether the caller has confirmed the flow of the SYN-ACK in hand
+// at the recorded target.
+func (c *call) callerElsewhere(e *flow.Entry) bool {
+	switch e.State {
+	case flow.Open, flow.Learned, flow.Closing:
+		return e.Seq != 0 && sameIncarnation(e, c.seg.Ack)
+	}
+	return false
 }
 
 // acceptOfAnother handles a SYN-ACK that is not the recorded target's. It returns
@@ -21,7 +37,7 @@
 	case !ok && c.askFormerHome(id, c.hop.Flags):
 		return true
 	case c.hop.Flags&geneve.FlagCrossed != 0 && (!ok || e.State == flow.Handed):
-		c.rejectAccept(id)
+		c.rejectAccept(e, ok, id)
 		return true
 	case !ok:
 		return false
@@ -31,22 +47,25 @@
 		return true
 	case e.Target == id:
 		return false
-	case c.acceptedWhileQueued(e, id):
+	case c.acceptedWithoutTarget(e, id):
 		e.Target = id
 		e.State = flow.Opening
 		c.r.hold(e, c.addr.Service, c.addr.Unit())
 		return false
 	}
-	return c.crossedAccept(id)
+	return c.crossedAccept(e, id)
 }
 
 // crossedAccept passes a SYN-ACK of another target than the home's to the
 // former home, which may have given it to the caller.
-func (c *call) crossedAccept(id uint32) bool {
+func (c *call) crossedAccept(e *flow.Entry, id uint32) bool {
 	if o := c.r.openings[c.key]; o != nil {
 		o.exclude(id)
 	}
-	return c.hop.Flags&geneve.FlagFormer == 0 && c.askFormerHome(id, geneve.FlagCrossed)
+	if c.hop.Flags&geneve.FlagFormer != 0 || c.callerElsewhere(e) {
+		return false
+	}
+	return c.askFormerHome(id, geneve.FlagCrossed)
 }
 
 // askFormerHome passes a SYN-ACK that the home does not know, or with
@@ -98,8 +117,8 @@
 // payload then fits no record.
 func (c *call) accepts(e *flow.Entry, id uint32) bool {
 	switch e.State {
-	case flow.Queued:
-		return c.acceptedWhileQueued(e, id)
+	case flow.Queued, flow.Refused:
+		return c.acceptedWithoutTarget(e, id)
 	case flow.Opening:
 		return c.seg.Ack == e.Seq+1
 	case flow.Accepted:
@@ -110,8 +129,8 @@
 	return false
 }
 
-// acceptedWhileQueued reports whether a target accepts an opening that waits
-// here for room.
+// acceptedWithoutTarget reports whether a target accepts an opening that waits here for
+// room, or was refused.
 //
 // Failure: a target refuses one copy of an opening packet and accepts another, or
 // another home sent it there. It shows as a connection that is reset although
@@ -122,10 +141,17 @@
 // and rejected it all the same. It shows as a connection that is reset once a further copy
 // of the opening packet, with the same numbers, has opened it at that target, as the
 // rejection's reset is overtaken by it.
-func (c *call) acceptedWhileQueued(e *flow.Entry, id uint32) bool {
-	o := c.r.openings[c.key]
-	if o == nil || e.State != flow.Queued || !c.seg.IsAccept() || c.seg.Ack != e.Seq+1 {
+//
+// Only the caller knows whether it took a refusal: it resets the connection if it did.
+func (c *call) acceptedWithoutTarget(e *flow.Entry, id uint32) bool {
+	if !c.seg.IsAccept() || c.seg.Ack != e.Seq+1 || !c.r.pools[c.addr.Service].Room(id, c.addr.Unit()) {
 		return false
 	}
-	return !slices.Contains(o.lost, id) && c.r.pools[c.addr.Service].Room(id, c.addr.Unit())
+	switch o := c.r.openings[c.key]; e.State {
+	case flow.Queued:
+		return o != nil && !slices.Contains(o.lost, id)
+	case flow.Refused:
+		return true
+	}
+	return false
 }
--- a/internal/router/views_test.go
+++ b/internal/router/views_test.go
@@ -86,8 +86,9 @@
 
 // A balancer joins, and the caller's repeated opening packet reaches it before
 // the former home's news. Each has opened the stream at a target of its own. A
-// SYN-ACK of the other one's target may already be the caller's connection:
-// only the former home can tell, and only it may reset that target.
+// SYN-ACK of the other one's target may already be the caller's connection: only
+// the former home can tell. One that has forgotten it must not reset that target,
+// which the home does once the caller has confirmed its own.
 func TestCrossedAcceptanceIsForTheFormerHome(t *testing.T) {
 	o := openHere(t)
 	r, v, c, other, out := o.r, o.v, o.caller, o.other, o.out
@@ -98,7 +99,14 @@
 	}
 	former, _ := newTestRouter(1, 2, 2)
 	passed(former, time.Second, v.Nodes[0].Data.Addr(), a.Hop, a.Packet, out)
-	if a := only(t, out, ToTarget); a.Target != other {
+	if len(out.Actions) != 0 || former.Count(DropLateAccept) != 1 {
+		t.Fatalf("the former home did %+v", out.Actions)
+	}
+	fromTarget(r, time.Second, o.target, synAck(c, testAddress), out)
+	only(t, out, ToCaller)
+	fromCaller(r, time.Second, packet.Build(c, testAddress, 1001, 5001, header.TCPFlagAck, nil), out)
+	fromTarget(r, 2*time.Second, other, synAck(c, testAddress), out)
+	if a := only(t, out, ToTarget); a.Target != other || !parsedReset(t, a) {
 		t.Fatalf("reset went to %s", a.Target)
 	}
 }
@@ -205,6 +213,13 @@
 	hop.Target = other
 	late := packet.Build(testAddress, c, 9000, 1001, header.TCPFlagSyn|header.TCPFlagAck, nil)
 	passed(r, time.Second, v.Nodes[0].Data.Addr(), hop, late, out)
+	if len(out.Actions) != 0 || r.Count(DropLateAccept) != 1 {
+		t.Fatalf("before the caller confirmed: %+v", out.Actions)
+	}
+	ask := geneve.Hop{Kind: geneve.Ask, Count: 1}
+	confirm := packet.Build(c, testAddress, 1001, 5001, header.TCPFlagAck, nil)
+	passed(r, time.Second, v.Nodes[0].Data.Addr(), ask, confirm, out)
+	passed(r, 2*time.Second, v.Nodes[0].Data.Addr(), hop, late, out)
 	if a := only(t, out, ToTarget); a.Target != other || !parsedReset(t, a) {
 		t.Fatalf("the late target got %+v", a)
 	}
