A flow counts as silent after six copies of a segment, and when no balancer saw an answer

Two copies of a segment at its home, 3 s apart, counted as proof of a silent flow if the target answered others. A caller with a retransmission timeout of 3 s whose request is lost once behind the home gives just these two; so does one whose answers pass another balancer and are lost after it, which the home never sees.

After two copies the home repeats the segment itself, every 0.3 s; six unanswered copies, the caller's and its own, have it ask the other balancers for an answer of the last 2 s, and only without an objection within 0.3 s are both ends reset. At most 256 flows at once. Counters packets_silent_repeated, packets_ask_silent, packets_silence_objected. An older balancer drops the question as one that it can't place, and objects to nothing.

A silent flow that was active before is reset 1.5 s later than it was (the fourth or fifth retransmission, then four copies by the home), an idle one 0.3 s later.

TestSilentFlowIsResetThroughAsking demanded the reset at the second copy, which is the fault: what the home sees by then is the same for a lost request. It demands the reset of both ends within 2 s of the second copy, without a further one by the caller. New, and failing on the code before: TestSegmentLostTwiceResetsNothing, TestAnswersThatPassOthersResetNothing.

--- a/internal/geneve/hop.go
+++ b/internal/geneve/hop.go
@@ -49,6 +49,11 @@
 	// FlagCrossed marks a SYN-ACK of another target than the home's, on its way
 	// to a former home, which knows it or resets the target.
 	FlagCrossed
+	// FlagAsked marks a Silent by which a flow's home asks the others for a recent answer
+	// of its target.
+	FlagAsked
+	// FlagAnswered marks a Silent by which one of them says that it saw one.
+	FlagAnswered
 )
 
 func (h *Hop) append(dst []byte) []byte {
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -288,9 +288,5 @@
 		return
 	}
 	hop := geneve.Hop{Kind: geneve.Correct, Count: 1, Target: c.v.Targets[e.Target].Addr}
-	for i := range c.v.Nodes {
-		if i != c.v.Self {
-			c.out.peer(c.v, i, c.addr.Service, hop, c.seg.Raw)
-		}
-	}
+	c.toOthers(hop, c.seg.Raw)
 }
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -30,6 +30,10 @@
 		c.r.Note(DropHopLimit)
 	case c.seg.IsOpening():
 		c.opening()
+	case c.has && c.hop.Kind == geneve.Silent && c.hop.Flags&geneve.FlagAsked != 0:
+		c.objectToSilence()
+	case c.has && c.hop.Kind == geneve.Silent && c.hop.Flags&geneve.FlagAnswered != 0:
+		c.heedObjection()
 	case c.has && c.hop.Kind == geneve.Silent:
 		c.silentAtHome()
 	case c.has:
@@ -262,7 +266,7 @@
 	e.State = flow.Closing
 	e.Seen = tick(c.now)
 	c.r.store(*e)
-	delete(c.r.silences, e.Key)
+	c.forgetSilence()
 	if counted {
 		c.admitWaiting(c.addr.Service)
 	}
--- a/internal/router/reason.go
+++ b/internal/router/reason.go
@@ -69,6 +69,9 @@
 	FlowSpilled
 	HomeForwarded
 	AskForwarded
+	AskSilent
+	SilentRepeated
+	SilenceObjected
 	reasonCount
 )
 
@@ -85,6 +88,7 @@
 	"opening_queued", "opening_resent", "opening_forgotten", "reset_silent", "reset_unknown", "reset_abandoned", "reset_left",
 	"flow_opened", "flow_adopted", "flow_learned", "flow_corrected", "flow_crossed",
 	"flow_expired", "flow_ended", "flow_handed_over", "flow_spilled", "home_forwarded", "ask_forwarded",
+	"ask_silent", "silent_repeated", "silence_objected",
 }
 
 // String returns the counter's name.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,6 +67,7 @@
 	openings map[flow.Key]*opening
 	probes   map[flow.Key]*probe
 	silences map[flow.Key]*silence
+	suspects map[flow.Key]*silence // of these, those that the home repeats
 	sweepAt  int
 	sweptAt  time.Duration
 }
@@ -81,6 +82,7 @@
 		openings: map[flow.Key]*opening{},
 		probes:   map[flow.Key]*probe{},
 		silences: map[flow.Key]*silence{},
+		suspects: map[flow.Key]*silence{},
 	}
 }
 
--- a/internal/router/silent_test.go
+++ b/internal/router/silent_test.go
@@ -47,21 +47,102 @@
 	r.Handle(now, v.Nodes[1].Data.Addr(), &geneve.Datagram{VNI: testService, Hop: hop, HasHop: true, Inner: req}, out)
 }
 
-// A young stream goes silent, and the caller's repeated segment arrives through
-// balancers that never saw one of its answers, so that they ask its home. Those
-// repeats count too: each that does not doubles the time until the reset.
-func TestSilentFlowIsResetThroughAsking(t *testing.T) {
+// ticks runs a router's timers for a time, and returns what they sent.
+func ticks(r *Router, from, to time.Duration) []Action {
+	var all []Action
+	for now := from; now < to; now += 20 * time.Millisecond {
+		out := &Output{}
+		r.Tick(now, out)
+		all = append(all, out.Actions...)
+	}
+	return all
+}
+
+// count returns how many of the actions have a destination.
+func count(as []Action, to Destination) int {
+	n := 0
+	for _, a := range as {
+		if a.To == to {
+			n++
+		}
+	}
+	return n
+}
+
+// suspected is a flow of which the home has seen one segment twice, 4 s apart, through
+// another balancer, and no answer.
+func suspected(t *testing.T) (*Router, *View, netip.Addr) {
+	t.Helper()
 	r, v := newTestRouter(0, 2, 1)
 	out := &Output{}
-	open(r, v, time.Second, testCaller, out)
+	target := open(r, v, time.Second, testCaller, out)
 	other := netip.AddrPortFrom(testCaller.Addr(), 41000)
 	open(r, v, 6*time.Second, other, out)
-	asked := func(now time.Duration) { askedFor(r, v, now, out) }
-	asked(4 * time.Second)
-	only(t, out, ToTarget)
-	asked(8 * time.Second)
-	if r.Count(ResetSilent) != 1 {
-		t.Fatalf("not reset: %+v", out.Actions)
+	for _, at := range []time.Duration{4 * time.Second, 8 * time.Second} {
+		askedFor(r, v, at, out)
+		only(t, out, ToTarget)
+	}
+	return r, v, target
+}
+
+// A young stream goes silent, and the caller's repeated segment arrives through balancers
+// that never saw one of its answers: those repeats must count too.
+func TestSilentFlowIsResetThroughAsking(t *testing.T) {
+	r, _, target := suspected(t)
+	all := ticks(r, 8*time.Second, 10*time.Second)
+	last := all[len(all)-2:]
+	if r.Count(ResetSilent) != 1 || last[0].To != ToCaller || last[1].Target != target {
+		t.Fatalf("not reset within 2 s: %+v", last)
+	}
+	for _, a := range last {
+		if !parsedReset(t, a) {
+			t.Fatal("not a reset")
+		}
+	}
+}
+
+// A request is lost behind the home, and its caller repeats it once, seconds later: the flow
+// is reset although its target holds it.
+func TestSegmentLostTwiceResetsNothing(t *testing.T) {
+	r, _, target := suspected(t)
+	all := ticks(r, 8*time.Second, 8*time.Second+2*repeatPause+100*time.Millisecond)
+	if n := count(all, ToTarget); n != 2 || len(all) != 2 {
+		t.Fatalf("the home sent %+v, want two copies of the segment", all)
+	}
+	answer := packet.Build(testAddress, testCaller, 5001, 1004, header.TCPFlagAck|header.TCPFlagPsh, []byte("done"))
+	fromTarget(r, 9*time.Second, target, answer, &Output{})
+	if all = ticks(r, 9*time.Second, 60*time.Second); len(all) > 0 || r.Count(ResetSilent) > 0 {
+		t.Fatalf("after the answer: %+v", all)
+	}
+}
+
+// The answers to a segment pass another balancer, and are lost on their way to the caller:
+// the home, which sees none of them, resets the flow.
+func TestAnswersThatPassOthersResetNothing(t *testing.T) {
+	r, v, target := suspected(t)
+	other, _ := newTestRouter(1, 2, 1)
+	out := &Output{}
+	answer := packet.Build(testAddress, testCaller, 5001, 1004, header.TCPFlagAck|header.TCPFlagPsh, []byte("done"))
+	fromTarget(other, 8*time.Second, target, answer, out)
+	var asked []Action
+	for now := 8 * time.Second; len(asked) == 0; now += 20 * time.Millisecond {
+		out.Reset()
+		r.Tick(now, out)
+		for _, a := range out.Actions {
+			if a.To == ToPeer {
+				asked = append(asked, a)
+			}
+		}
+	}
+	passed(other, 9*time.Second, v.Nodes[0].Data.Addr(), asked[0].Hop, asked[0].Packet, out)
+	objection := only(t, out, ToPeer)
+	passed(r, 9500*time.Millisecond, v.Nodes[1].Data.Addr(), objection.Hop, objection.Packet, out)
+	if all := ticks(r, 9500*time.Millisecond, 60*time.Second); len(all) > 0 || r.Count(SilenceObjected) != 1 {
+		t.Fatalf("after the objection: %+v", all)
+	}
+	passed(other, 12*time.Second, v.Nodes[0].Data.Addr(), asked[0].Hop, asked[0].Packet, out)
+	if len(out.Actions) != 0 {
+		t.Fatalf("an old answer counts: %+v", out.Actions)
 	}
 }
 
--- a/internal/router/tick.go
+++ b/internal/router/tick.go
@@ -31,6 +31,7 @@
 			r.admitWaiting(now, v, n, out)
 		}
 	}
+	r.repeatSilent(now, v, out)
 	r.sweep(now)
 }
 
@@ -56,10 +57,14 @@
 			keys = append(keys, k)
 		}
 	}
-	sort.Slice(keys, func(i, j int) bool { return lessKey(keys[i], keys[j]) })
+	sortKeys(keys)
 	return keys
 }
 
+func sortKeys(keys []flow.Key) {
+	sort.Slice(keys, func(i, j int) bool { return lessKey(keys[i], keys[j]) })
+}
+
 func lessKey(a, b flow.Key) bool {
 	if a.Caller != b.Caller {
 		return string(a.Caller[:]) < string(b.Caller[:])
@@ -135,6 +140,7 @@
 	for k, s := range r.silences {
 		if now-s.last > r.set.DeadAfter {
 			delete(r.silences, k)
+			delete(r.suspects, k)
 		}
 	}
 }
