Sight: rosedaled logs each decision on a flow; a failed run prints the logs of broken flows

Counters could not tell who reset a flow that broke in a rolling replacement. Each decision that touches a request is a line now, with the record, its age, the packet's numbers and who sent it (the router stays pure: decisions leave it beside its actions). Resets passed on for a target or a caller have counters. The logger of rosedale-edge, which is bounded and never blocks, moved to internal/logging and serves both daemons, on standard output; rosedaled waited for its reader before. Stand-in targets log their resets, callers tell which flows broke, and a failed scenario prints what all processes logged about them. No decision changed; tests of the touched packages and the random runs pass.

--- a/cmd/rosedale-edge/main.go
+++ b/cmd/rosedale-edge/main.go
@@ -16,6 +16,7 @@
 	"rosedale.dev/rosedale/internal/cli"
 	"rosedale.dev/rosedale/internal/direct"
 	"rosedale.dev/rosedale/internal/edge"
+	"rosedale.dev/rosedale/internal/logging"
 	"rosedale.dev/rosedale/platform"
 )
 
@@ -52,7 +53,7 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
-	log, err := edge.NewLogger(os.Stdout, *level, boot)
+	log, err := logging.New(os.Stdout, *level, boot.VM, boot.DataCenter)
 	if err != nil {
 		return err
 	}
--- a/cmd/rosedaled/main.go
+++ b/cmd/rosedaled/main.go
@@ -12,10 +12,10 @@
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 
 	"rosedale.dev/rosedale/internal/cli"
 	"rosedale.dev/rosedale/internal/daemon"
+	"rosedale.dev/rosedale/internal/logging"
 	"rosedale.dev/rosedale/internal/settings"
 )
 
@@ -59,11 +59,11 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
-	log, err := newLogger(set)
+	log, err := logging.New(os.Stdout, set.Log.Level, set.Name, set.DataCenter)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = log.Sync() }()
+	defer log.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return daemon.Run(ctx, set, log)
@@ -100,18 +100,3 @@
 	}
 	return nil
 }
-
-func newLogger(s settings.Settings) (*zap.Logger, error) {
-	level, err := zap.ParseAtomicLevel(s.Log.Level)
-	if err != nil {
-		return nil, err
-	}
-	c := zap.NewProductionConfig()
-	c.Level = level
-	c.DisableStacktrace = true
-	log, err := c.Build()
-	if err != nil {
-		return nil, errors.Wrap(err, "log")
-	}
-	return log.With(zap.String("vm", s.Name), zap.String("dataCenter", s.DataCenter)), nil
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"rosedale.dev/rosedale/internal/control"
 	"rosedale.dev/rosedale/internal/forward"
 	"rosedale.dev/rosedale/internal/link"
+	"rosedale.dev/rosedale/internal/logging"
 	"rosedale.dev/rosedale/internal/metrics"
 	"rosedale.dev/rosedale/internal/router"
 	"rosedale.dev/rosedale/internal/settings"
@@ -20,13 +21,14 @@
 )
 
 // Run runs a balancer until ctx ends, and then stops it gracefully.
-func Run(ctx context.Context, set settings.Settings, log *zap.Logger) error {
+func Run(ctx context.Context, set settings.Settings, log *logging.Logger) error {
 	r := router.New(set.Router())
 	plane, err := forward.New(forward.Config{
 		Listen:  set.Data.Listen,
 		Fabric:  set.Fabric.Address,
 		Sources: set.Fabric.Sources,
 		Workers: set.Data.Workers,
+		Decided: func(d *router.Decision) { logDecision(log.Logger, d) },
 	}, r, time.Now())
 	if err != nil {
 		return err
@@ -34,12 +36,13 @@
 	defer plane.Close()
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	ln, err := listen(work, set, log)
+	ln, err := listen(work, set, log.Logger)
 	if err != nil {
 		return err
 	}
-	loop := control.New(set, log, r, plane, ln, openStore(set))
+	loop := control.New(set, log.Logger, r, plane, ln, openStore(set))
 	m := collector(r, plane, loop, ln, set.Keys)
+	m.Counter("log_lines_lost", log.Lost)
 	defer func() { _ = m.Close() }()
 	srv := &http.Server{
 		Addr:              set.Admin.Listen.String(),
@@ -51,7 +54,7 @@
 	defer func() { _ = srv.Close() }()
 	plane.Start()
 	go loop.Run(work)
-	go collect(work, m)
+	go collect(work, m, log)
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "daemon: admin endpoint")
@@ -84,7 +87,7 @@
 	return store.NewConsul(set.Store.URL, set.Store.Token)
 }
 
-func collect(ctx context.Context, m *metrics.Collector) {
+func collect(ctx context.Context, m *metrics.Collector, log *logging.Logger) {
 	t := time.NewTicker(metrics.Interval)
 	defer t.Stop()
 	for {
@@ -93,6 +96,7 @@
 			return
 		case <-t.C:
 			m.Collect()
+			log.ReportLost()
 		}
 	}
 }
--- a/internal/edge/bare_test.go
+++ b/internal/edge/bare_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"rosedale.dev/rosedale/internal/logging"
 	"rosedale.dev/rosedale/internal/peer"
 	"rosedale.dev/rosedale/internal/replica"
 	"rosedale.dev/rosedale/internal/revision"
@@ -18,7 +19,7 @@
 func bareControl(t testing.TB) *control {
 	t.Helper()
 	e := &Edge{boot: platform.Boot{VM: "a1", DataCenter: "a"}, start: time.Now(), ready: &ready{}}
-	log, err := NewLogger(&output{}, "info", e.boot)
+	log, err := logging.New(&output{}, "info", e.boot.VM, e.boot.DataCenter)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"rosedale.dev/rosedale/internal/logging"
 	"rosedale.dev/rosedale/internal/peer"
 	"rosedale.dev/rosedale/internal/replica"
 	"rosedale.dev/rosedale/platform"
@@ -28,7 +30,7 @@
 // those that say otherwise.
 type control struct {
 	edge    *Edge
-	log     *Logger
+	log     *logging.Logger
 	store   *platform.Store
 	checker *platform.Checker
 	udp     *net.UDPConn
@@ -188,7 +190,7 @@
 	if c.ticks%lossTicks == 0 {
 		c.forgetUnregistered()
 		c.tellSourcesIfDue(ctx, now)
-		c.log.reportLost()
+		c.log.ReportLost()
 	}
 	c.alarmIfDue(now)
 	c.outcomesIfDue(now)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"rosedale.dev/rosedale/internal/direct"
+	"rosedale.dev/rosedale/internal/logging"
 	"rosedale.dev/rosedale/internal/metrics"
 	"rosedale.dev/rosedale/platform"
 )
@@ -37,7 +38,7 @@
 type Edge struct {
 	boot    platform.Boot
 	without direct.MechanismSet // those that are switched off
-	log     *Logger
+	log     *logging.Logger
 	start   time.Time
 
 	mu      sync.Mutex // guards forward
@@ -54,7 +55,7 @@
 
 // Run runs a balancer without some mechanisms until ctx ends, and then stops it
 // gracefully.
-func Run(ctx context.Context, boot platform.Boot, without direct.MechanismSet, log *Logger) error {
+func Run(ctx context.Context, boot platform.Boot, without direct.MechanismSet, log *logging.Logger) error {
 	e := &Edge{boot: boot, without: without, log: log, start: time.Now()}
 	m := metrics.New()
 	e.times = newTimes(m)
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"rosedale.dev/rosedale/internal/logging"
 	"rosedale.dev/rosedale/internal/standin/direct"
 	"rosedale.dev/rosedale/platform"
 )
@@ -162,7 +163,7 @@
 	for i := range 3 {
 		b.boot.Seeds = append(b.boot.Seeds, netip.AddrPortFrom(address(d.net, balancerNet, i+1), b.boot.Control.Port()))
 	}
-	log, err := NewLogger(b.out, "info", b.boot)
+	log, err := logging.New(b.out, "info", b.boot.VM, b.boot.DataCenter)
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -5,13 +5,14 @@
 
 	"go.uber.org/zap"
 
+	"rosedale.dev/rosedale/internal/logging"
 	"rosedale.dev/rosedale/platform"
 )
 
 // Reload reads the settings file again at each signal and logs what it found,
 // until the channel is closed. Addresses and names of a running process do not
 // change; the platform starts a new one for that.
-func Reload(signals <-chan os.Signal, path string, log *Logger) {
+func Reload(signals <-chan os.Signal, path string, log *logging.Logger) {
 	for range signals {
 		boot, err := platform.ReadBoot(path)
 		if err != nil {
--- a/internal/experiment/outcome.go
+++ b/internal/experiment/outcome.go
@@ -25,6 +25,7 @@
 	StoreRPS  float64            // store calls a second, all balancers
 	InForce   []time.Duration    // from the write to each balancer's use
 	Took      time.Duration
+	Traces    []string        // what was logged about the first flows that broke
 	outside   map[string]bool // targets that the scenario takes out of use
 }
 
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -82,6 +82,7 @@
 		return nil, err
 	}
 	o.Took = time.Since(began)
+	o.Traces = traces(bed, o.Callers.Cut)
 	samples.wait()
 	statsAfter, err := bed.Stats()
 	if err != nil {
--- a/internal/forward/plane.go
+++ b/internal/forward/plane.go
@@ -25,6 +25,8 @@
 	Sources []netip.Prefix // the fabric's addresses
 	Workers int            // traffic goroutines; zero takes one per processor, 4 at most
 	Relay   netip.AddrPort // set for the bare relay that measurements compare with
+	// Decided takes the decisions on flows, from several goroutines; nil for none.
+	Decided func(*router.Decision)
 }
 
 // Plane runs the traffic goroutines.
@@ -96,6 +98,7 @@
 	p.tick.out.Reset()
 	f(p.Now(), &p.tick.out)
 	p.tick.flush()
+	p.tick.report()
 }
 
 // Now returns the time since begin.
--- a/internal/forward/worker.go
+++ b/internal/forward/worker.go
@@ -48,6 +48,7 @@
 			w.handle(&w.in[i])
 		}
 		w.flush()
+		w.report()
 	}
 }
 
@@ -79,6 +80,16 @@
 	w.plane.router.Handle(now, src, &d, &w.out)
 }
 
+// report passes the decisions on.
+func (w *worker) report() {
+	if w.plane.cfg.Decided == nil {
+		return
+	}
+	for i := range w.out.Decisions {
+		w.plane.cfg.Decided(&w.out.Decisions[i])
+	}
+}
+
 // flush sends the collected actions in batches.
 func (w *worker) flush() {
 	acts := w.out.Actions
--- a/internal/edge/log.go
+++ b/internal/logging/logger.go
@@ -1,4 +1,5 @@
-package edge
+// Package logging writes the daemons' JSON lines without waiting for their reader.
+package logging
 
 import (
 	"io"
@@ -8,8 +9,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
-
-	"rosedale.dev/rosedale/platform"
 )
 
 const (
@@ -30,8 +29,8 @@
 	told  uint64 // of the lost lines
 }
 
-// NewLogger returns a logger for the VM of boot.
-func NewLogger(w io.Writer, level string, boot platform.Boot) (*Logger, error) {
+// New returns a logger of a VM's daemon for lines at or above a level.
+func New(w io.Writer, level, vm, dataCenter string) (*Logger, error) {
 	lv, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, errors.Wrap(err, "log level")
@@ -41,7 +40,7 @@
 	conf.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(conf), zapcore.AddSync(l), lv)
 	core = zapcore.NewSamplerWithOptions(core, time.Second, linesPerSecond, 0, zapcore.SamplerHook(l.sampled))
-	l.Logger = zap.New(core).With(zap.String("vm", boot.VM), zap.String("dataCenter", boot.DataCenter))
+	l.Logger = zap.New(core).With(zap.String("vm", vm), zap.String("dataCenter", dataCenter))
 	go l.write(w)
 	return l, nil
 }
@@ -49,8 +48,8 @@
 // Lost returns the number of lines that were left out.
 func (l *Logger) Lost() uint64 { return l.lost.Load() }
 
-// reportLost says how many lines were left out since the last call.
-func (l *Logger) reportLost() {
+// ReportLost says how many lines were left out since the last call.
+func (l *Logger) ReportLost() {
 	n := l.lost.Load()
 	if n == l.told {
 		return
--- a/internal/edge/log_test.go
+++ b/internal/logging/logger_test.go
@@ -1,4 +1,4 @@
-package edge
+package logging
 
 import (
 	"io"
@@ -6,15 +6,13 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"rosedale.dev/rosedale/platform"
 )
 
 // Nobody reads standard output, as its pipe is full. Balancing has to go on: lines
 // are left out and counted, and no call waits.
 func TestLogNeverBlocks(t *testing.T) {
 	r, w := io.Pipe() // nobody reads: the first write waits for ever
-	l, err := NewLogger(w, "info", platform.Boot{VM: "a", DataCenter: "b"})
+	l, err := New(w, "info", "a", "b")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -35,7 +33,7 @@
 }
 
 func BenchmarkDecisionLine(b *testing.B) {
-	l, err := NewLogger(io.Discard, "info", platform.Boot{VM: "a", DataCenter: "b"})
+	l, err := New(io.Discard, "info", "a", "b")
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/router/action.go
+++ b/internal/router/action.go
@@ -31,11 +31,15 @@
 
 // Output collects the actions of one call and is reused between calls.
 type Output struct {
-	Actions []Action
+	Actions   []Action
+	Decisions []Decision
 }
 
 // Reset empties o.
-func (o *Output) Reset() { o.Actions = o.Actions[:0] }
+func (o *Output) Reset() {
+	o.Actions = o.Actions[:0]
+	o.Decisions = o.Decisions[:0]
+}
 
 func (o *Output) target(v *View, id uint32, p []byte) {
 	t := &v.Targets[id]
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -132,7 +132,7 @@
 	case c.seg.IsAccept():
 		c.accepted(e)
 	case e.State == flow.Probing && !c.answersProbe(e):
-		c.r.Note(DropCrossedAnswer)
+		c.decide(DropCrossedAnswer, e)
 	case e.State == flow.Opening:
 		// A challenge to the opening from an older flow of the same ports:
 		// the caller answers it with a reset that clears the way.
@@ -191,9 +191,10 @@
 		c.probeRejected(e)
 	default:
 		if c.refusesOpening() {
-			c.r.Note(DropLateRefusal)
+			c.decide(DropLateRefusal, e)
 			return
 		}
+		c.decide(ResetByTarget, e)
 		c.out.caller(c.seg.Raw)
 		c.end(e)
 	}
@@ -225,7 +226,11 @@
 // another balancer was home when it opened: the target has the flow.
 func (c *call) adoptAnswer(id uint32) {
 	c.out.caller(c.seg.Raw)
-	if c.seg.IsReset() || c.isBare() && !c.seg.IsAccept() {
+	if c.seg.IsReset() {
+		c.decide(ResetByTarget, nil)
+		return
+	}
+	if c.isBare() && !c.seg.IsAccept() {
 		return // which does not show that the target has the flow
 	}
 	e := flow.Entry{Key: c.key, Target: id, Seq: c.seg.Ack, Seen: tick(c.now), Answered: tick(c.now), State: flow.Open}
@@ -238,7 +243,7 @@
 	} else if c.isHome() && (c.seg.IsAccept() || c.showsLife()) {
 		c.r.hold(&e, c.addr.Service, c.addr.Unit())
 	}
-	c.r.Note(FlowAdopted)
+	c.decide(FlowAdopted, &e)
 	if !c.r.store(e) {
 		c.r.release(&e, c.addr.Service, c.addr.Unit())
 		c.r.Note(DropTableFull)
@@ -261,7 +266,7 @@
 	if c.isBare() && c.seg.Ack == e.Seq+1 {
 		return false // an answer to a repeated opening packet
 	}
-	c.r.Note(FlowCrossed)
+	c.decide(FlowCrossed, e)
 	c.abandon(e)
 	c.r.remove(e.Key)
 	return true
@@ -283,7 +288,7 @@
 		c.rejectAccept(e, true, id)
 		return
 	}
-	c.r.Note(DropCrossedAnswer)
+	c.decide(DropCrossedAnswer, e)
 	if e.Target == 0 || e.State == flow.Accepted || c.seg.Flags&header.TCPFlagRst != 0 {
 		return
 	}
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -115,12 +115,13 @@
 			return
 		}
 	}
-	if e, known := c.load(); c.isHome() && (!known || decidesNothing(e.State)) {
+	e, known := c.load()
+	if c.isHome() && (!known || decidesNothing(e.State)) {
 		c.probeUnknown()
 		return
 	}
 	if c.isHome() {
-		c.r.Note(DropMidOpening)
+		c.decide(DropMidOpening, &e)
 		return
 	}
 	hop.Flags = geneve.FlagExhausted
@@ -148,7 +149,7 @@
 	e, ok = c.load() // a crossed entry was removed
 	ok = ok && !decidesNothing(e.State)
 	if exhausted && ok {
-		c.r.Note(DropMidOpening) // nobody knows better than this opening
+		c.decide(DropMidOpening, &e) // nobody knows better than this opening
 		return
 	}
 	if exhausted {
@@ -176,7 +177,7 @@
 			return false
 		}
 		// The caller was accepted by nobody we know: an old duplicate.
-		c.r.Note(DropMidOpening)
+		c.decide(DropMidOpening, e)
 		return true
 	case flow.Accepted:
 		if !c.confirms(e) {
@@ -234,7 +235,7 @@
 	if !c.seg.HasAck() || c.seg.Ack-(e.Seq+1) < maxUnacked {
 		return true
 	}
-	c.r.Note(FlowCrossed)
+	c.decide(FlowCrossed, e)
 	c.r.release(e, c.addr.Service, c.addr.Unit())
 	c.r.remove(e.Key)
 	return false
@@ -246,12 +247,13 @@
 func (c *call) callerReset(e flow.Entry) {
 	switch e.State {
 	case flow.Queued, flow.Refused, flow.Probing:
-		c.r.Note(DropUnknownReset)
+		c.decide(DropUnknownReset, &e)
 		return
 	case flow.Opening:
 		c.out.target(c.v, e.Target, c.seg.Raw)
 		return
 	}
+	c.decide(ResetByCaller, &e)
 	c.out.target(c.v, e.Target, c.seg.Raw)
 	c.end(&e)
 }
--- a/internal/router/former.go
+++ b/internal/router/former.go
@@ -13,9 +13,9 @@
 // sent earlier may reach the target after another home has given it to the caller, as it
 // carries the number that the caller uses there.
 func (c *call) rejectAccept(e *flow.Entry, known bool, id uint32) {
-	c.r.Note(DropLateAccept)
+	c.decide(DropLateAccept, e)
 	if known && c.callerElsewhere(e) {
-		c.r.Note(ResetLeft)
+		c.decide(ResetLeft, e)
 		c.out.target(c.v, id, packet.ResetTo(&c.seg))
 	}
 }
@@ -43,7 +43,7 @@
 		return false
 	case e.State == flow.Handed:
 		// The new home decides when the target repeats it.
-		c.r.Note(DropLateAccept)
+		c.decide(DropLateAccept, e)
 		return true
 	case e.Target == id:
 		return false
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -141,7 +141,7 @@
 		return
 	}
 	if known && e.State == flow.Opening && m.State == flow.Accepted && e.Target != id {
-		r.yield(v, &e, out)
+		r.yield(now, v, &e, out)
 		known = false
 	}
 	if known && (e.Target != id || e.State == flow.Closing || e.State == flow.Refused) {
@@ -164,9 +164,9 @@
 // Failure: the caller's repeated opening packet reached this balancer before
 // the handover. It shows as two targets for one flow, and as a reset of the one
 // that the caller uses. This balancer has delivered no acceptance yet.
-func (r *Router) yield(v *View, e *flow.Entry, out *Output) {
+func (r *Router) yield(now time.Duration, v *View, e *flow.Entry, out *Output) {
 	if o := r.openings[e.Key]; o != nil {
-		r.abandonTarget(v, e, o, out)
+		r.abandonTarget(now, v, e, o, out)
 		r.finish(e.Key, o)
 	}
 	r.remove(e.Key)
--- a/internal/router/opening.go
+++ b/internal/router/opening.go
@@ -139,7 +139,7 @@
 
 // refuseNow answers the opening packet in hand with a reset.
 func (c *call) refuseNow(why Reason) {
-	c.r.Note(why)
+	c.decide(why, nil)
 	c.out.caller(packet.ResetTo(&c.seg))
 }
 
@@ -192,7 +192,7 @@
 		r.refuse(now, e.Key, RefuseQueueFull, out)
 		return
 	}
-	r.Note(OpeningQueued)
+	r.decide(now, OpeningQueued, e, out)
 	if did {
 		r.refuse(now, displaced.Key, RefuseDisplaced, out)
 	}
@@ -215,7 +215,7 @@
 	if o == nil || !ok {
 		return
 	}
-	r.Note(why)
+	r.decide(now, why, &e, out)
 	r.finish(k, o)
 	r.release(&e, o.addr.Service, o.addr.Unit())
 	e.State = flow.Refused
@@ -242,7 +242,7 @@
 	if o == nil {
 		return
 	}
-	c.r.abandonTarget(c.v, e, o, c.out)
+	c.r.abandonTarget(c.now, c.v, e, o, c.out)
 	c.r.finish(e.Key, o)
 }
 
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -33,12 +33,12 @@
 // is no rejection: the packet is then never sent to another target.
 func (c *call) probeUnknown() {
 	if c.seg.IsReset() {
-		c.r.Note(DropUnknownReset)
+		c.decide(DropUnknownReset, nil)
 		return
 	}
 	p := c.r.pools[c.addr.Service]
 	if p == nil || len(c.r.probes) >= maxProbes || !p.takeProbe(c.now, c.r.set.ProbeRate) {
-		c.r.Note(DropProbeLimit)
+		c.decide(DropProbeLimit, nil)
 		return
 	}
 	pr := &probe{
@@ -57,7 +57,7 @@
 		return
 	}
 	c.r.probes[c.key] = pr
-	c.r.Note(RetryProbe)
+	c.decide(RetryProbe, &e)
 	c.out.target(c.v, e.Target, c.seg.Raw)
 }
 
@@ -100,10 +100,10 @@
 // lost the packet is dropped instead: the caller's next one may reach them.
 func (c *call) nobodyHas() {
 	if c.v.Partial {
-		c.r.Note(DropUnknownFlow)
+		c.decide(DropUnknownFlow, nil)
 		return
 	}
-	c.r.Note(ResetUnknown)
+	c.decide(ResetUnknown, nil)
 	c.out.caller(c.seg.Raw)
 }
 
@@ -121,7 +121,7 @@
 	}
 	e.Probe++
 	e.Target = pr.candidates[e.Probe]
-	c.r.Note(RetryProbe)
+	c.decide(RetryProbe, e)
 	c.r.store(*e)
 	c.out.target(c.v, e.Target, pr.packet)
 }
--- a/internal/router/reason.go
+++ b/internal/router/reason.go
@@ -58,6 +58,8 @@
 	ResetUnknown
 	ResetAbandoned
 	ResetLeft
+	ResetByTarget
+	ResetByCaller
 	FlowOpened
 	FlowAdopted
 	FlowLearned
@@ -85,7 +87,7 @@
 	"drop_late_accept", "drop_late_refusal", "refuse_no_target", "refuse_queue_full", "refuse_displaced",
 	"refuse_deadline", "refuse_too_late", "refuse_unanswered", "refuse_retry_limit", "refuse_payload",
 	"refuse_withdrawn", "refuse_opening_limit", "retry_shed", "retry_timeout", "retry_probe", "retry_delayed",
-	"opening_queued", "opening_resent", "opening_forgotten", "reset_silent", "reset_unknown", "reset_abandoned", "reset_left",
+	"opening_queued", "opening_resent", "opening_forgotten", "reset_silent", "reset_unknown", "reset_abandoned", "reset_left", "reset_by_target", "reset_by_caller",
 	"flow_opened", "flow_adopted", "flow_learned", "flow_corrected", "flow_crossed",
 	"flow_expired", "flow_ended", "flow_handed_over", "flow_spilled", "home_forwarded", "ask_forwarded",
 	"ask_silent", "silent_repeated", "silence_objected",
--- a/internal/router/retry.go
+++ b/internal/router/retry.go
@@ -10,12 +10,12 @@
 
 // abandonTarget resets the target of an opening whose caller began anew or has
 // its connection elsewhere, and releases it.
-func (r *Router) abandonTarget(v *View, e *flow.Entry, o *opening, out *Output) {
+func (r *Router) abandonTarget(now time.Duration, v *View, e *flow.Entry, o *opening, out *Output) {
 	if e.State != flow.Opening {
 		return
 	}
 	if seg, err := packet.Parse(o.packet); err == nil {
-		r.Note(ResetAbandoned)
+		r.decide(now, ResetAbandoned, e, out)
 		out.target(v, e.Target, packet.ResetAlong(&seg))
 	}
 	r.release(e, o.addr.Service, o.addr.Unit())
@@ -31,12 +31,12 @@
 		return
 	}
 	if !p.Budget.Take() {
-		r.Note(RetryDelayed)
+		r.decide(now, RetryDelayed, e, out)
 		o.after = now + balance.ShedPause
 		r.enqueue(now, e, o, out)
 		return
 	}
-	r.Note(RetryShed)
+	r.decide(now, RetryShed, e, out)
 	if _, ok := p.Choose(now, o.addr.Unit(), o.flow, o.tried); !ok {
 		// Every target with room was tried. Those that refused keep nothing
 		// of it and may be tried again.
@@ -65,7 +65,7 @@
 		r.stay(now, v, e, o, out)
 		return
 	}
-	r.Note(RetryTimeout)
+	r.decide(now, RetryTimeout, e, out)
 	p.Lost(now, e.Target)
 	o.exclude(e.Target)
 	r.releaseLater(now, e, o.addr.Service, o.addr.Unit())
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -126,8 +126,10 @@
 	hash uint64 // of key, for the table
 	flow uint64 // of the flow, alike in every process
 	home int
-	hop  geneve.Hop
-	has  bool // hop is set
+	// sender is the target that the packet came from, 0 for a caller's.
+	sender uint32
+	hop    geneve.Hop
+	has    bool // hop is set
 	// spilled: another group passed the packet on, which counts as if the
 	// fabric had sent it.
 	spilled bool
@@ -229,6 +231,7 @@
 		c.r.Note(DropForeignTarget)
 		return
 	}
+	c.sender = id
 	c.key = flow.NewKey(c.seg.Dst, c.addr.ID)
 	c.hash = c.key.Hash()
 	special := c.seg.IsAccept() || c.seg.IsReset() || c.seg.IsFin()
--- a/internal/router/silent.go
+++ b/internal/router/silent.go
@@ -59,7 +59,7 @@
 		}
 		e = flow.Entry{Key: c.key, Target: id, State: flow.Open, Answered: tick(c.now)}
 		c.r.hold(&e, c.addr.Service, c.addr.Unit())
-		c.r.Note(FlowAdopted)
+		c.decide(FlowAdopted, &e)
 	}
 	if !c.placeKnown(&e) {
 		c.probeUnknown()
@@ -112,14 +112,14 @@
 	if s.count < minRepeats || s.count+s.copies < minUnanswered || !c.silentLongEnough(s, e.Target) {
 		return false
 	}
-	if s.askedAt == 0 && c.askOthers(e.Target) {
+	if s.askedAt == 0 && c.askOthers(e) {
 		s.askedAt = c.now
 		return false
 	}
 	if c.now-s.askedAt < objectionWait {
 		return false
 	}
-	c.r.Note(ResetSilent)
+	c.decide(ResetSilent, e)
 	c.out.caller(packet.ResetTo(&c.seg))
 	c.out.target(c.v, e.Target, packet.ResetAlong(&c.seg))
 	c.end(e)
@@ -134,9 +134,9 @@
 
 // askOthers asks all other balancers for an answer of the flow that passed them, and
 // reports whether there are any.
-func (c *call) askOthers(target uint32) bool {
-	c.r.Note(AskSilent)
-	hop := geneve.Hop{Kind: geneve.Silent, Count: 1, Flags: geneve.FlagAsked, Target: c.v.Targets[target].Addr}
+func (c *call) askOthers(e *flow.Entry) bool {
+	c.decide(AskSilent, e)
+	hop := geneve.Hop{Kind: geneve.Silent, Count: 1, Flags: geneve.FlagAsked, Target: c.v.Targets[e.Target].Addr}
 	c.toOthers(hop, packet.Build(c.seg.Src, c.seg.Dst, c.seg.Seq, c.seg.Ack, c.seg.Flags, nil))
 	return len(c.v.Nodes) > 1
 }
@@ -167,7 +167,7 @@
 func (c *call) heedObjection() {
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
-	c.r.Note(SilenceObjected)
+	c.decide(SilenceObjected, nil)
 	c.forgetSilence()
 }
 
--- a/internal/router/tick.go
+++ b/internal/router/tick.go
@@ -99,7 +99,7 @@
 		return
 	}
 	if v.home(o.addr.homeKey(o.flow), false) != v.Self {
-		r.forgetOpening(&e, o)
+		r.forgetOpening(now, &e, o, out)
 		return
 	}
 	r.retryLost(now, v, &e, o, out)
@@ -113,8 +113,8 @@
 // as a reset of the caller's connection, since the timeout here abandons a
 // target that answered the home. The caller's next copy goes to the home, and
 // so does a late SYN-ACK, which then resets the target.
-func (r *Router) forgetOpening(e *flow.Entry, o *opening) {
-	r.Note(OpeningForgotten)
+func (r *Router) forgetOpening(now time.Duration, e *flow.Entry, o *opening, out *Output) {
+	r.decide(now, OpeningForgotten, e, out)
 	r.finish(e.Key, o)
 	r.release(e, o.addr.Service, o.addr.Unit())
 	r.remove(e.Key)
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -54,26 +55,36 @@
 	}
 	l.rec.opening(time.Since(began))
 	defer func() { _ = c.Close() }()
+	opened := time.Now()
+	if err := l.exchange(c, s, id, work); err != nil {
+		l.rec.cut(Cut{Caller: c.LocalAddr().String(), What: id, Opened: opened, At: time.Now(), Cause: cause(err)})
+		return broken, err
+	}
+	return answered, nil
+}
+
+// exchange sends a request on its connection and checks the answer.
+func (l *load) exchange(c net.Conn, s spec, id string, work int) error {
 	_ = c.SetDeadline(time.Now().Add(requestTimeout))
 	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/note?id=%s&work=%d", s.addr, id, work), nil)
 	if err != nil {
-		return broken, err
+		return err
 	}
 	req.Close = true
 	if err := req.Write(c); err != nil {
-		return broken, err
+		return err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), req)
 	if err != nil {
-		return broken, err
+		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return broken, err
+		return err
 	}
 	l.checkAnswer(strings.Fields(string(b)), s, id)
-	return answered, nil
+	return nil
 }
 
 func (l *load) checkAnswer(f []string, s spec, id string) {
--- a/internal/standin/caller/result.go
+++ b/internal/standin/caller/result.go
@@ -37,6 +37,17 @@
 	RefusedP50    float64        `json:"refusedP50"` // until the refusal
 	RefusedP99    float64        `json:"refusedP99"`
 	Errors        map[string]int `json:"errors,omitempty"`
+	// Cut are the ends of the first flows that broke.
+	Cut []Cut `json:"cut,omitempty"`
+}
+
+// Cut is a flow that broke at its caller.
+type Cut struct {
+	Caller string    `json:"caller"` // address and port
+	What   string    `json:"what"`   // the request or stream
+	Opened time.Time `json:"opened"`
+	At     time.Time `json:"at"`
+	Cause  string    `json:"cause"`
 }
 
 // recorder collects a Result from many goroutines.
@@ -49,6 +60,17 @@
 	refusals []time.Duration
 }
 
+// maxCut bounds what is told of flows that broke.
+const maxCut = 20
+
+func (r *recorder) cut(c Cut) {
+	r.do(func(res *Result) {
+		if len(res.Cut) < maxCut {
+			res.Cut = append(res.Cut, c)
+		}
+	})
+}
+
 // maxTwice bounds what is told of requests that were run twice.
 const maxTwice = 5
 
--- a/internal/standin/caller/stream.go
+++ b/internal/standin/caller/stream.go
@@ -38,7 +38,9 @@
 	defer func() { _ = c.Close() }()
 	l.rec.opening(time.Since(began))
 	l.rec.do(func(r *Result) { r.StreamsOpened++ })
+	opened := time.Now()
 	if err := l.frames(ctx, c, s, nonce); err != nil && ctx.Err() == nil {
+		l.rec.cut(Cut{Caller: c.LocalAddr().String(), What: nonce, Opened: opened, At: time.Now(), Cause: cause(err)})
 		l.rec.do(func(r *Result) {
 			r.StreamsBroken++
 			if strings.Contains(err.Error(), "reset") {
--- a/internal/standin/target/endpoint.go
+++ b/internal/standin/target/endpoint.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -207,11 +208,17 @@
 	strange := e.begun.strange(seg)
 	e.mu.Unlock()
 	if strange {
+		e.logReset("strange acknowledgement", seg.Src, seg.Ack, 0)
 		e.transmit(packet.ResetTo(seg))
 	}
 	return strange
 }
 
+// logReset tells on standard output of a reset that the target sends to a caller.
+func (e *Endpoint) logReset(why string, caller netip.AddrPort, seq, ack uint32) {
+	fmt.Printf("%s target %s resets %s: %s, seq %d ack %d\n", time.Now().Format(time.StampMicro), e.Target.Address, caller, why, seq, ack)
+}
+
 // send takes a packet of the TCP stack.
 func (e *Endpoint) send(b []byte) {
 	seg, err := packet.Parse(b)
@@ -220,6 +227,9 @@
 	}
 	e.mu.Lock()
 	e.begun.sent(&seg)
+	if seg.IsReset() {
+		e.logReset("by its stack", seg.Dst, seg.Seq, seg.Ack)
+	}
 	drop := e.set.Paused || e.lost[connection{caller: seg.Dst, address: seg.Src}]
 	e.mu.Unlock()
 	if !drop {
--- a/internal/testbed/acts.go
+++ b/internal/testbed/acts.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"time"
@@ -253,6 +254,29 @@
 	return err
 }
 
+// LogsAbout returns the lines of all processes' logs that name a caller's end of a flow.
+func (b *Bed) LogsAbout(caller string) string {
+	files, err := filepath.Glob(filepath.Join(b.Dir, "*.log"))
+	if err != nil {
+		return err.Error()
+	}
+	whole := regexp.MustCompile(`\b` + regexp.QuoteMeta(caller) + `\b`)
+	var out strings.Builder
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			_, _ = fmt.Fprintln(&out, err)
+			continue
+		}
+		for line := range strings.Lines(string(text)) {
+			if whole.MatchString(line) {
+				_, _ = fmt.Fprintf(&out, "%s: %s", strings.TrimSuffix(filepath.Base(f), ".log"), line)
+			}
+		}
+	}
+	return out.String()
+}
+
 // Log returns a process's output, for a failed test's report.
 func (b *Bed) Log(name string) string {
 	data, _ := os.ReadFile(filepath.Join(b.Dir, name+".log"))
--- a/test/scenarios_test.go
+++ b/test/scenarios_test.go
@@ -21,6 +21,11 @@
 	for _, v := range o.Violations(sc.Planned) {
 		t.Error(v)
 	}
+	if t.Failed() {
+		for _, flow := range o.Traces {
+			t.Log(flow)
+		}
+	}
 	if o.Callers.StreamsOpened == 0 || o.Callers.Answered == 0 {
 		t.Error("the callers did nothing")
 	}
