A candidate's rejection of a probe ends no flow at another balancer

The rejection carries the number that the caller acknowledged, so that the caller believes it.

Mend: a target's reset of an unknown flow passes only if the balancer that got it has the flow on record at that target (FlagRecorded). Otherwise it is dropped: a flow that nobody has ends by the probe, which hears all rejections, or by the caller's next packet.

TestRejectionOfAnothersProbeIsDropped fails without the mend.

--- a/internal/geneve/hop.go
+++ b/internal/geneve/hop.go
@@ -54,6 +54,9 @@
 	FlagAsked
 	// FlagAnswered marks a Silent by which one of them says that it saw one.
 	FlagAnswered
+	// FlagRecorded marks a target's reset of a flow that its sender has on record at that
+	// target.
+	FlagRecorded
 )
 
 func (h *Hop) append(dst []byte) []byte {
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -22,10 +22,19 @@
 	}
 	c.learn(id)
 	c.r.Note(HomeForwarded)
-	hop := geneve.Hop{Kind: geneve.Answer, Count: c.hop.Count + 1, Target: c.v.Targets[id].Addr}
+	hop := geneve.Hop{Kind: geneve.Answer, Count: c.hop.Count + 1, Flags: c.hop.Flags & geneve.FlagRecorded, Target: c.v.Targets[id].Addr}
+	if c.seg.IsReset() && c.recordedAt(id) {
+		hop.Flags |= geneve.FlagRecorded
+	}
 	c.out.peer(c.v, c.home, c.addr.Service, hop, c.seg.Raw)
 }
 
+// recordedAt reports whether the flow is on record here at a target.
+func (c *call) recordedAt(id uint32) bool {
+	e, ok := c.load()
+	return ok && e.Target == id && (isLive(e.State) || e.State == flow.Closing)
+}
+
 // learn records the target of a passing answer. The answer itself goes to the
 // home, which corrects the record if it has another target.
 func (c *call) learn(id uint32) {
@@ -224,7 +233,16 @@
 
 // adoptAnswer handles an answer of a flow that its home does not know, since
 // another balancer was home when it opened: the target has the flow.
+//
+// Failure: while views differ, another balancer probes for the flow, and a candidate's
+// rejection comes here. It shows as a reset of a flow that its target holds. A reset
+// passes only for a flow that some balancer has on record at the target; of one that
+// nobody has, the caller hears by the end of a probe.
 func (c *call) adoptAnswer(id uint32) {
+	if c.seg.IsReset() && c.hop.Flags&geneve.FlagRecorded == 0 {
+		c.decide(DropUnknownReset, nil)
+		return
+	}
 	c.out.caller(c.seg.Raw)
 	if c.seg.IsReset() {
 		c.decide(ResetByTarget, nil)
--- a/internal/router/views_test.go
+++ b/internal/router/views_test.go
@@ -282,3 +282,28 @@
 		t.Fatalf("the next candidate was not tried: %+v", a)
 	}
 }
+
+// While views differ one balancer probes for a flow, and a candidate's rejection comes to
+// another one, which passes it to the caller: the flow ends although its target holds it.
+func TestRejectionOfAnothersProbeIsDropped(t *testing.T) {
+	home, v := newTestRouter(0, 2, 2)
+	other, _ := newTestRouter(1, 2, 2)
+	out := &Output{}
+	c := callerOf(v, 0)
+	rejection := packet.Build(testAddress, c, 5001, 0, header.TCPFlagRst, nil)
+	from := v.Targets[1].Addr
+	fromTarget(home, time.Second, from, rejection, out)
+	if len(out.Actions) != 0 || home.Count(DropUnknownReset) != 1 {
+		t.Fatalf("passed on: %+v", out.Actions)
+	}
+	fromTarget(other, time.Second, from, rejection, out)
+	passed(home, time.Second, v.Nodes[1].Data.Addr(), only(t, out, ToPeer).Hop, rejection, out)
+	if len(out.Actions) != 0 {
+		t.Fatalf("passed on: %+v", out.Actions)
+	}
+	answer := packet.Build(testAddress, c, 5001, 1005, header.TCPFlagAck|header.TCPFlagPsh, []byte("done"))
+	fromTarget(other, 2*time.Second, from, answer, out) // which shows that the target had the flow
+	fromTarget(other, 2*time.Second, from, rejection, out)
+	passed(home, 2*time.Second, v.Nodes[1].Data.Addr(), only(t, out, ToPeer).Hop, rejection, out)
+	only(t, out, ToCaller)
+}
