A forgotten opening keeps its slot until its target has had time to answer

Cause: an opening that another balancer is home of is forgotten at its timeout, and its slot was free at once, while its target may still accept it: the next one went there. A retry after a timeout holds the slot for another 1.2 s for the same reason; forgetting does so now too.

TestForgottenOpeningKeepsItsSlotForAWhile fails without it (0 slots counted).

--- a/internal/router/failures_test.go
+++ b/internal/router/failures_test.go
@@ -288,3 +288,25 @@
 		t.Fatal("not counted")
 	}
 }
+
+// An opening that another balancer is home of is forgotten while its target may still accept
+// it, and its slot goes to the next one: the target gets more requests than it has slots.
+func TestForgottenOpeningKeepsItsSlotForAWhile(t *testing.T) {
+	r, v := newTestRouter(0, 2, 1)
+	a := v.Addresses[slotAddress]
+	if v.home(a.homeKey(0), false) == 0 {
+		r, v = newTestRouter(1, 2, 1)
+	}
+	out := &Output{}
+	hop := geneve.Hop{Kind: geneve.Opening, Count: openingHops}
+	passed(r, time.Second, v.Nodes[0].Data.Addr(), hop, syn(testCaller, slotAddress, 1000), out)
+	only(t, out, ToTarget)
+	r.Tick(1600*time.Millisecond, out)
+	if n := r.pools[testService].Used(1, balance.Slot); n != 1 || r.Count(OpeningForgotten) != 1 {
+		t.Fatalf("%d slots are counted for the opening that may still be accepted", n)
+	}
+	r.Tick(4*time.Second, out)
+	if n := r.pools[testService].Used(1, balance.Slot); n != 0 {
+		t.Fatalf("%d slots stay counted", n)
+	}
+}
--- a/internal/router/tick.go
+++ b/internal/router/tick.go
@@ -116,7 +116,7 @@
 func (r *Router) forgetOpening(now time.Duration, e *flow.Entry, o *opening, out *Output) {
 	r.decide(now, OpeningForgotten, e, out)
 	r.finish(e.Key, o)
-	r.release(e, o.addr.Service, o.addr.Unit())
+	r.releaseLater(now, e, o.addr.Service, o.addr.Unit())
 	r.remove(e.Key)
 }
 
