A caller that goes on with a connection ends the opening that is under way for it

Evidence: 'drop_mid_opening ... state opening, target 127.11.1.2, flags PA, ack, hops 5' four times within a second at scan-hall-1, for a caller whom annex-b-1 had given its connection at that very target ('flow_adopted ... recorded'); the same with state refused at vault-a-2. Views differed, the balancers that the home asks did not know the flow, and the home dropped what the caller sent until the opening was retried elsewhere or refused, though its numbers show that it was accepted.

Mend: once the others were asked in vain, such a packet ends the opening, and the flow is probed, the opening's own target first. TestCallerAcceptedByAForgottenHomeIsFound fails without it (nothing is sent).

--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -115,13 +115,9 @@
 			return
 		}
 	}
-	e, known := c.load()
-	if c.isHome() && (!known || decidesNothing(e.State)) {
-		c.probeUnknown()
-		return
-	}
 	if c.isHome() {
-		c.decide(DropMidOpening, &e)
+		e, known := c.load()
+		c.probeExhausted(e, known && !decidesNothing(e.State))
 		return
 	}
 	hop.Flags = geneve.FlagExhausted
@@ -148,12 +144,8 @@
 	}
 	e, ok = c.load() // a crossed entry was removed
 	ok = ok && !decidesNothing(e.State)
-	if exhausted && ok {
-		c.decide(DropMidOpening, &e) // nobody knows better than this opening
-		return
-	}
 	if exhausted {
-		c.probeUnknown()
+		c.probeExhausted(e, ok)
 		return
 	}
 	if c.spilled || c.hop.Count == 0 {
@@ -162,6 +154,31 @@
 	c.askNext()
 }
 
+// probeExhausted looks for the flow's target among the candidates when no balancer that
+// was asked knows it.
+//
+// Failure: views differ, and a balancer that is not asked gave the caller its connection,
+// often to the very target of the opening here. It shows as a caller whose packets are
+// dropped until the opening is refused. They show by their numbers that it was accepted, so
+// that the opening ends.
+func (c *call) probeExhausted(e flow.Entry, known bool) {
+	if known && !c.acceptedUnseen(&e) {
+		c.decide(DropMidOpening, &e)
+		return
+	}
+	if !known {
+		c.probeUnknown(0)
+		return
+	}
+	c.decide(FlowCrossed, &e)
+	c.r.release(&e, c.addr.Service, c.addr.Unit())
+	if o := c.r.openings[e.Key]; o != nil {
+		c.r.finish(e.Key, o)
+	}
+	c.r.remove(e.Key)
+	c.probeUnknown(e.Target)
+}
+
 // decidesNothing reports whether an entry in this state is only a mark.
 func decidesNothing(s flow.State) bool { return s == flow.Handed || s == flow.Hinted }
 
@@ -217,7 +234,7 @@
 // flow's home. It shows as a segment with the numbers of this opening that
 // acknowledges something. That balancer knows the target and is asked.
 func (c *call) acceptedUnseen(e *flow.Entry) bool {
-	return c.hop.Flags&geneve.FlagExhausted == 0 && c.seg.HasAck() && c.seg.Seq-e.Seq-1 < maxUnacked
+	return c.seg.HasAck() && c.seg.Seq-e.Seq-1 < maxUnacked
 }
 
 // maxUnacked bounds what a target sends before the caller's first packet
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"gvisor.dev/gvisor/pkg/tcpip/header"
@@ -30,8 +31,9 @@
 // a caller's packet that nobody can place. A target without the connection
 // rejects the segment with a reset and has accepted nothing, so the next
 // candidate may be tried; the candidate that has the flow accepts it. Silence
-// is no rejection: the packet is then never sent to another target.
-func (c *call) probeUnknown() {
+// is no rejection: the packet is then never sent to another target. The likeliest target
+// is tried first, if one is.
+func (c *call) probeUnknown(likeliest uint32) {
 	if c.seg.IsReset() {
 		c.decide(DropUnknownReset, nil)
 		return
@@ -47,6 +49,10 @@
 		candidates: p.Order(c.flow),
 		began:      c.now,
 	}
+	if likeliest != 0 {
+		rest := slices.DeleteFunc(pr.candidates, func(id uint32) bool { return id == likeliest })
+		pr.candidates = append([]uint32{likeliest}, rest...)
+	}
 	if len(pr.candidates) == 0 {
 		c.r.Note(DropUnknownFlow)
 		return
--- a/internal/router/silent.go
+++ b/internal/router/silent.go
@@ -62,7 +62,7 @@
 		c.decide(FlowAdopted, &e)
 	}
 	if !c.placeKnown(&e) {
-		c.probeUnknown()
+		c.probeUnknown(0)
 	}
 }
 
--- a/internal/router/views_test.go
+++ b/internal/router/views_test.go
@@ -263,6 +263,27 @@
 	}
 }
 
+// A home with an opening in its queue, which a balancer that has forgotten it had accepted
+// elsewhere, drops what the caller sends on its connection until the opening is refused.
+func TestCallerAcceptedByAForgottenHomeIsFound(t *testing.T) {
+	r, v := newTestRouter(0, 2, 1)
+	out := &Output{}
+	c := callerOf(v, 0)
+	fromCaller(r, time.Second, syn(c, testAddress, 1000), out)
+	target := only(t, out, ToTarget).Target
+	data := packet.Build(c, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
+	fromCaller(r, time.Second, data, out)
+	asked := only(t, out, ToPeer)
+	back := geneve.Hop{Kind: geneve.Ask, Count: asked.Hop.Count + 1, Flags: geneve.FlagExhausted}
+	passed(r, time.Second, v.Nodes[1].Data.Addr(), back, data, out)
+	if a := only(t, out, ToTarget); a.Target != target || r.Count(RetryProbe) != 1 {
+		t.Fatalf("the caller's request went on as %+v", a)
+	}
+	answer := packet.Build(testAddress, c, 5001, 1005, header.TCPFlagAck|header.TCPFlagPsh, []byte("done"))
+	fromTarget(r, time.Second, target, answer, out)
+	only(t, out, ToCaller)
+}
+
 // A candidate with a half-open connection of the caller answers a copy of its opening while
 // it is probed, and is taken for the flow's target.
 func TestBareAcknowledgementEndsNoProbe(t *testing.T) {
