An answer with the caller's numbers ends a probe of another candidate

The probe stays there until it expires after 30 s, the caller gives up after 10.

Mend: an answer with payload that continues the numbers of the probed packet shows whose flow it is. TestAnswerOfTheOwnTargetEndsAProbe fails without it (the answer is dropped).

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -119,7 +119,7 @@
 		return
 	}
 	switch {
-	case !ok || e.State == flow.Handed || c.acceptedByOther(&e, id):
+	case !ok || e.State == flow.Handed || c.acceptedByOther(&e, id) || c.foundAtOther(&e, id):
 		c.adoptAnswer(id)
 	case e.Target != id:
 		c.crossed(&e, id)
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -97,6 +97,22 @@
 	return p == nil || near(c.seg.Seq, p.ack)
 }
 
+// foundAtOther ends a probe when another target than the candidate answers with the numbers
+// that the caller acknowledged.
+//
+// Failure: a candidate's rejection comes to a balancer that does not probe. It shows as a
+// probe that stays with this candidate, while the answers of the flow's own target are
+// dropped here as crossed until the caller gives up.
+func (c *call) foundAtOther(e *flow.Entry, id uint32) bool {
+	plain := !c.seg.IsAccept() && !c.seg.IsReset() && !c.isBare()
+	if e.State != flow.Probing || e.Target == id || !plain || !c.answersProbe(e) {
+		return false
+	}
+	delete(c.r.probes, e.Key)
+	c.r.remove(e.Key)
+	return true
+}
+
 // nobodyHas ends a probe that every candidate rejected with a reset to the
 // caller, so that it reconnects rather than hangs.
 //
--- a/internal/router/views_test.go
+++ b/internal/router/views_test.go
@@ -328,3 +328,20 @@
 	passed(home, 2*time.Second, v.Nodes[1].Data.Addr(), only(t, out, ToPeer).Hop, rejection, out)
 	only(t, out, ToCaller)
 }
+
+// A probe stays with a candidate whose rejection went to another balancer, and drops the
+// answers of the flow's own target.
+func TestAnswerOfTheOwnTargetEndsAProbe(t *testing.T) {
+	r, v := newTestRouter(0, 1, 2)
+	out := &Output{}
+	data := packet.Build(testCaller, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
+	fromCaller(r, time.Second, data, out)
+	own := otherThan(v, only(t, out, ToTarget).Target)
+	answer := packet.Build(testAddress, testCaller, 5001, 1005, header.TCPFlagAck|header.TCPFlagPsh, []byte("done"))
+	fromTarget(r, time.Second, own, answer, out)
+	only(t, out, ToCaller)
+	fromCaller(r, time.Second, data, out)
+	if a := only(t, out, ToTarget); a.Target != own {
+		t.Fatalf("the caller's packet went to %s", a.Target)
+	}
+}
