The acceptance of a handed-over opening is passed to its new home

Two balancers took each other for the home, and the hop limit ended each SYN-ACK at the one that had handed over.

Mend: that one passes it on to the home that it knows, up to the limit of all hops. TestAcceptanceOfAHandedOpeningGoesToItsHome fails without it (the SYN-ACK is dropped).

--- a/internal/router/former.go
+++ b/internal/router/former.go
@@ -42,8 +42,7 @@
 	case !ok:
 		return false
 	case e.State == flow.Handed:
-		// The new home decides when the target repeats it.
-		c.decide(DropLateAccept, e)
+		c.acceptOfHanded(e, id)
 		return true
 	case e.Target == id:
 		return false
@@ -56,6 +55,21 @@
 	return c.crossedAccept(e, id)
 }
 
+// acceptOfHanded passes a SYN-ACK of an opening that was handed over to its new home.
+//
+// Failure: two balancers take each other for the home, and the hop limit ends the SYN-ACK
+// here each time the target repeats it. It shows as an opening that its new home refuses as
+// unanswered.
+func (c *call) acceptOfHanded(e *flow.Entry, id uint32) {
+	if c.isHome() || c.hop.Count >= hopLimit {
+		c.decide(DropLateAccept, e)
+		return
+	}
+	c.r.Note(HomeForwarded)
+	hop := geneve.Hop{Kind: geneve.Answer, Count: max(c.hop.Count, openingHops) + 1, Target: c.v.Targets[id].Addr}
+	c.out.peer(c.v, c.home, c.addr.Service, hop, c.seg.Raw)
+}
+
 // crossedAccept passes a SYN-ACK of another target than the home's to the
 // former home, which may have given it to the caller.
 func (c *call) crossedAccept(e *flow.Entry, id uint32) bool {
--- a/internal/router/views_test.go
+++ b/internal/router/views_test.go
@@ -345,3 +345,28 @@
 		t.Fatalf("the caller's packet went to %s", a.Target)
 	}
 }
+
+// Two balancers take each other for a stream's home. The one that handed its opening over gets
+// the target's SYN-ACK at the hop limit, and the new home refuses the opening as unanswered.
+func TestAcceptanceOfAHandedOpeningGoesToItsHome(t *testing.T) {
+	after := testView(0, 2, 1)
+	before := testView(0, 2, 1)
+	before.Nodes[1].Serving = false
+	c := callerOf(after, 1)
+	r := New(Settings{AliveInterval: time.Hour})
+	r.SetView(0, before)
+	out := &Output{}
+	fromCaller(r, time.Second, syn(c, testAddress, 1000), out)
+	target := only(t, out, ToTarget).Target
+	moved := r.SetView(time.Second, after)
+	hop := geneve.Hop{Kind: geneve.Answer, Count: openingHops, Target: target}
+	passed(r, time.Second, after.Nodes[1].Data.Addr(), hop, synAck(c, testAddress), out)
+	a := only(t, out, ToPeer)
+	if a.Peer != after.Nodes[1].Data {
+		t.Fatalf("went to %s", a.Peer)
+	}
+	home, v := newTestRouter(1, 2, 1)
+	home.Take(time.Second, moved, out)
+	passed(home, time.Second, v.Nodes[0].Data.Addr(), a.Hop, a.Packet, out)
+	only(t, out, ToCaller)
+}
