The acceptance of a handed-over opening goes to its new home once

A new home that has yet to hear of the opening asks the former one, which passed the SYN-ACK back to it, without end. What the home has asked about is dropped now, as before; the target repeats it. The test plays this too.

--- a/internal/router/former.go
+++ b/internal/router/former.go
@@ -61,8 +61,8 @@
 // here each time the target repeats it. It shows as an opening that its new home refuses as
 // unanswered.
 func (c *call) acceptOfHanded(e *flow.Entry, id uint32) {
-	if c.isHome() || c.hop.Count >= hopLimit {
-		c.decide(DropLateAccept, e)
+	if c.isHome() || c.hop.Flags&geneve.FlagFormer != 0 {
+		c.decide(DropLateAccept, e) // its home has it already
 		return
 	}
 	c.r.Note(HomeForwarded)
--- a/internal/router/views_test.go
+++ b/internal/router/views_test.go
@@ -366,6 +366,12 @@
 		t.Fatalf("went to %s", a.Peer)
 	}
 	home, v := newTestRouter(1, 2, 1)
+	passed(home, time.Second, v.Nodes[0].Data.Addr(), a.Hop, a.Packet, out) // before the handover
+	back := only(t, out, ToPeer)
+	passed(r, time.Second, after.Nodes[1].Data.Addr(), back.Hop, back.Packet, out)
+	if len(out.Actions) != 0 {
+		t.Fatalf("it circles: %+v", out.Actions)
+	}
 	home.Take(time.Second, moved, out)
 	passed(home, time.Second, v.Nodes[0].Data.Addr(), a.Hop, a.Packet, out)
 	only(t, out, ToCaller)
