An answer that comes after a refusal reaches its caller; a rejection finds its probe

Two faults, seen together in the lines of rolling replacements beside load.

What callers saw: requests that ran and timed out after 10 s. 'refuse_too_late' at vault-a-2, whose caller had its connection by another home and went on, then 'drop_crossed_answer ... state refused, flags PA, ack' beyond the caller's request, three times in a row: the home dropped the answer, as the flow's record said refused. An answer that acknowledges the caller's request shows that it was accepted, whatever was decided here; for an opening under way that was so before. TestAnswerAfterRefusalReachesItsCaller fails without it.

'retry_probe' at one balancer, 'drop_unknown_reset' of the candidate's rejection at another, and no further candidate for 6 s: since a rejection that nobody has on record is no longer passed to the caller, the probe stayed where it was. It goes along the flow's order now, as an acceptance does, and the balancer that probes takes the next candidate. TestRejectionFindsTheBalancerThatProbes fails without it.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -236,11 +236,13 @@
 //
 // Failure: while views differ, another balancer probes for the flow, and a candidate's
 // rejection comes here. It shows as a reset of a flow that its target holds. A reset
-// passes only for a flow that some balancer has on record at the target; of one that
-// nobody has, the caller hears by the end of a probe.
+// passes only for a flow that some balancer has on record at the target. Others go along the
+// flow's order to the balancer that probes, or its probe would stay with this candidate.
 func (c *call) adoptAnswer(id uint32) {
 	if c.seg.IsReset() && c.hop.Flags&geneve.FlagRecorded == 0 {
-		c.decide(DropUnknownReset, nil)
+		if !c.askFormerHome(id, 0) {
+			c.decide(DropUnknownReset, nil)
+		}
 		return
 	}
 	c.out.caller(c.seg.Raw)
@@ -268,7 +270,7 @@
 	}
 }
 
-// acceptedByOther ends an opening that is under way here when another target
+// acceptedByOther ends an opening that is under way here, or was refused, when another target
 // already has this very flow, which its acknowledgement of the caller's first
 // numbers shows.
 //
@@ -276,9 +278,13 @@
 // home, and this one retried at a second target. It shows as an answer of the
 // first one with numbers of this opening. The caller has its connection there;
 // the second target never saw more than the opening packet and is reset.
+//
+// Failure: the home has refused the opening, and the caller, who has its connection already,
+// ignored that. It shows as a request that ran, whose answer is dropped here as crossed.
 func (c *call) acceptedByOther(e *flow.Entry, id uint32) bool {
 	plain := !c.seg.IsAccept() && !c.seg.IsReset() && c.seg.HasAck()
-	if e.Target == id || !plain || e.State != flow.Opening && e.State != flow.Queued || c.seg.Ack-e.Seq-1 >= maxUnacked {
+	undecided := e.State == flow.Opening || e.State == flow.Queued || e.State == flow.Refused
+	if e.Target == id || !plain || !undecided || c.seg.Ack-e.Seq-1 >= maxUnacked {
 		return false
 	}
 	if c.isBare() && c.seg.Ack == e.Seq+1 {
--- a/internal/router/former.go
+++ b/internal/router/former.go
@@ -122,7 +122,7 @@
 	return true
 }
 
-// accepts reports whether a SYN-ACK that came along a flow's order belongs to
+// accepts reports whether a SYN-ACK or a reset that came along a flow's order belongs to
 // the flow that is recorded here.
 //
 // Failure: a caller used the same port before, and this balancer still has that
@@ -130,6 +130,9 @@
 // which reaches the caller before the one of its flow's target; the caller's
 // payload then fits no record.
 func (c *call) accepts(e *flow.Entry, id uint32) bool {
+	if c.seg.IsReset() {
+		return e.Target == id
+	}
 	switch e.State {
 	case flow.Queued, flow.Refused:
 		return c.acceptedWithoutTarget(e, id)
