--- a/internal/router/failures_test.go
+++ b/internal/router/failures_test.go
@@ -31,62 +31,6 @@
 	}
 }
 
-// Every slot is taken and the admission deadline passes. The caller sees
-// "connection refused" and may safely try again: nothing reached a target, and
-// a repeated opening packet gets the same answer.
-func TestRefusedAtDeadlineReachedNoTarget(t *testing.T) {
-	r, _ := newTestRouter(0, 1, 1)
-	out := &Output{}
-	for i := range 2 {
-		fromCaller(r, time.Second, syn(netip.AddrPortFrom(testCaller.Addr(), uint16(1000+i)), slotAddress, 1000), out)
-		only(t, out, ToTarget)
-	}
-	fromCaller(r, time.Second, syn(testCaller, slotAddress, 1000), out)
-	if len(out.Actions) != 0 {
-		t.Fatalf("a full target got %+v", out.Actions)
-	}
-	out.Reset()
-	r.Tick(3100*time.Millisecond, out)
-	refused := 0
-	for _, a := range out.Actions {
-		seg := parsed(t, a)
-		if a.To == ToCaller && seg.Dst == testCaller && seg.IsReset() {
-			refused++
-		}
-		if a.To == ToTarget && seg.Src == testCaller {
-			t.Fatal("the refused opening reached a target")
-		}
-	}
-	if refused != 1 || r.Count(RefuseDeadline) != 1 {
-		t.Fatalf("refused %d times, counted %d", refused, r.Count(RefuseDeadline))
-	}
-	fromCaller(r, 3200*time.Millisecond, syn(testCaller, slotAddress, 1000), out)
-	if seg := parsed(t, only(t, out, ToCaller)); !seg.IsReset() {
-		t.Fatal("a repeated opening packet was not refused")
-	}
-}
-
-// The only target runs one note and leaves the opening of the next unanswered
-// until its deadline. The refusal must free that one's slot and no other, or
-// the target runs more notes than it has slots.
-func TestUnansweredRefusalFreesItsOwnSlot(t *testing.T) {
-	r, _ := newTestRouter(0, 1, 1)
-	out := &Output{}
-	holder := netip.AddrPortFrom(testCaller.Addr(), 1000)
-	fromCaller(r, time.Second, syn(holder, slotAddress, 1000), out)
-	fromTarget(r, time.Second, only(t, out, ToTarget).Target, synAck(holder, slotAddress), out)
-	fromCaller(r, time.Second, syn(testCaller, slotAddress, 1000), out)
-	for ms := 1600; ms <= 4000; ms += 600 {
-		r.Tick(time.Duration(ms)*time.Millisecond, out)
-	}
-	if r.Count(RefuseUnanswered) != 1 {
-		t.Fatal("not refused")
-	}
-	if n := r.pools[testService].Used(1, balance.Slot); n != 1 {
-		t.Fatalf("%d slots are counted, one is in use", n)
-	}
-}
-
 // A hold and two ordinary requests wait while the only target is full. When a
 // slot frees, the hold is answered first although it came last.
 func TestUrgentGoesFirst(t *testing.T) {
@@ -144,30 +88,6 @@
 	}
 }
 
-// A refusal is overtaken by a connection that another home gave the caller: the refused
-// opening's home resets its target, and with it the caller's connection.
-func TestAcceptanceAfterRefusalIsTheCallersToJudge(t *testing.T) {
-	r, v := newTestRouter(0, 2, 1)
-	out := &Output{}
-	c := callerOf(v, 0)
-	fromCaller(r, time.Second, syn(c, testAddress, 1000), out)
-	target := only(t, out, ToTarget).Target
-	for at := 1600 * time.Millisecond; r.Count(RefuseUnanswered) == 0; at += 600 * time.Millisecond {
-		r.Tick(at, out)
-	}
-	fromTarget(r, 5*time.Second, target, synAck(c, testAddress), out)
-	if seg := parsed(t, only(t, out, ToCaller)); !seg.IsAccept() {
-		t.Fatalf("the caller got %+v", seg)
-	}
-	fromCaller(r, 5*time.Second, packet.Build(c, testAddress, 1001, 0, header.TCPFlagRst, nil), out)
-	if a := only(t, out, ToTarget); a.Target != target || !parsedReset(t, a) {
-		t.Fatalf("the caller's reset went on as %+v", a)
-	}
-	if n := r.pools[testService].Used(1, balance.Connection); n != 0 {
-		t.Fatalf("%d connections are counted", n)
-	}
-}
-
 // A port is used again after its flow ended, and the new flow went to another
 // target. A late segment of the former target would end up in the new flow's
 // stream; it is dropped.
@@ -190,53 +110,6 @@
 	}
 }
 
-// The balancer that opened a flow dies before any other saw an answer. The
-// caller's request reaches a balancer that knows nothing; it tries candidates,
-// whose resets the caller never sees, until the owner takes it.
-func TestUnknownFlowIsFoundByProbing(t *testing.T) {
-	r, v := newTestRouter(0, 1, 3)
-	out := &Output{}
-	req := packet.Build(testCaller, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("GET"))
-	fromCaller(r, time.Second, req, out)
-	tried := map[netip.Addr]bool{}
-	for range len(v.Targets) - 2 {
-		a := only(t, out, ToTarget)
-		tried[a.Target] = true
-		if string(a.Packet[40:]) != "GET" {
-			t.Fatal("the probe does not carry the request")
-		}
-		rst := packet.Build(testAddress, testCaller, 5001, 0, header.TCPFlagRst, nil)
-		fromTarget(r, time.Second, a.Target, rst, out)
-	}
-	owner := only(t, out, ToTarget).Target
-	if tried[owner] {
-		t.Fatal("a candidate was tried twice")
-	}
-	answer := packet.Build(testAddress, testCaller, 5001, 1004, header.TCPFlagAck, []byte("frame"))
-	fromTarget(r, time.Second, owner, answer, out)
-	only(t, out, ToCaller)
-	fromCaller(r, time.Second, req, out)
-	if a := only(t, out, ToTarget); a.Target != owner {
-		t.Fatalf("sent to %s, the owner is %s", a.Target, owner)
-	}
-}
-
-// A probed candidate stays silent: it may have run the note. The caller's
-// repeated packet goes to the same candidate, never to another one.
-func TestSilenceIsNoRejection(t *testing.T) {
-	r, _ := newTestRouter(0, 1, 3)
-	out := &Output{}
-	req := packet.Build(testCaller, slotAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
-	fromCaller(r, time.Second, req, out)
-	first := only(t, out, ToTarget).Target
-	for i := range 5 {
-		fromCaller(r, time.Duration(i+2)*time.Second, req, out)
-		if a := only(t, out, ToTarget); a.Target != first {
-			t.Fatal("the payload went to a second target")
-		}
-	}
-}
-
 // An operator edits the catalogue, drains the target and then removes it while
 // a caller watches a stream. Every frame has to go on reaching the same target.
 func TestEstablishedFlowSurvivesEdits(t *testing.T) {
--- /dev/null
+++ b/internal/router/probe_test.go
@@ -0,0 +1,171 @@
+package router
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gvisor.dev/gvisor/pkg/tcpip/header"
+
+	"rosedale.dev/rosedale/internal/geneve"
+	"rosedale.dev/rosedale/internal/packet"
+)
+
+// The balancer that opened a flow dies before any other saw an answer. The
+// caller's request reaches a balancer that knows nothing; it tries candidates,
+// whose resets the caller never sees, until the owner takes it.
+func TestUnknownFlowIsFoundByProbing(t *testing.T) {
+	r, v := newTestRouter(0, 1, 3)
+	out := &Output{}
+	req := packet.Build(testCaller, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("GET"))
+	fromCaller(r, time.Second, req, out)
+	tried := map[netip.Addr]bool{}
+	for range len(v.Targets) - 2 {
+		a := only(t, out, ToTarget)
+		tried[a.Target] = true
+		if string(a.Packet[40:]) != "GET" {
+			t.Fatal("the probe does not carry the request")
+		}
+		rst := packet.Build(testAddress, testCaller, 5001, 0, header.TCPFlagRst, nil)
+		fromTarget(r, time.Second, a.Target, rst, out)
+	}
+	owner := only(t, out, ToTarget).Target
+	if tried[owner] {
+		t.Fatal("a candidate was tried twice")
+	}
+	answer := packet.Build(testAddress, testCaller, 5001, 1004, header.TCPFlagAck, []byte("frame"))
+	fromTarget(r, time.Second, owner, answer, out)
+	only(t, out, ToCaller)
+	fromCaller(r, time.Second, req, out)
+	if a := only(t, out, ToTarget); a.Target != owner {
+		t.Fatalf("sent to %s, the owner is %s", a.Target, owner)
+	}
+}
+
+// A probed candidate stays silent: it may have run the note. The caller's
+// repeated packet goes to the same candidate, never to another one.
+func TestSilenceIsNoRejection(t *testing.T) {
+	r, _ := newTestRouter(0, 1, 3)
+	out := &Output{}
+	req := packet.Build(testCaller, slotAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
+	fromCaller(r, time.Second, req, out)
+	first := only(t, out, ToTarget).Target
+	for i := range 5 {
+		fromCaller(r, time.Duration(i+2)*time.Second, req, out)
+		if a := only(t, out, ToTarget); a.Target != first {
+			t.Fatal("the payload went to a second target")
+		}
+	}
+}
+
+// A candidate with a half-open connection of the caller answers a copy of its opening while
+// it is probed, and is taken for the flow's target.
+func TestBareAcknowledgementEndsNoProbe(t *testing.T) {
+	r, v := newTestRouter(0, 1, 2)
+	out := &Output{}
+	data := packet.Build(testCaller, testAddress, 1001, 1<<30, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
+	fromCaller(r, time.Second, data, out)
+	probed := only(t, out, ToTarget).Target
+	bare := packet.Build(testAddress, testCaller, 5001, 1001, header.TCPFlagAck, nil)
+	fromTarget(r, time.Second, probed, bare, out)
+	if len(out.Actions) != 0 || r.Count(DropCrossedAnswer) != 1 {
+		t.Fatalf("actions %+v", out.Actions)
+	}
+	reset := packet.Build(testAddress, testCaller, 1<<30, 0, header.TCPFlagRst, nil)
+	fromTarget(r, time.Second, probed, reset, out)
+	if a := only(t, out, ToTarget); a.Target != otherThan(v, probed) {
+		t.Fatalf("the next candidate was not tried: %+v", a)
+	}
+}
+
+// While views differ one balancer probes for a flow, and a candidate's rejection comes to
+// another one, which passes it to the caller: the flow ends although its target holds it.
+func TestRejectionOfAnothersProbeIsDropped(t *testing.T) {
+	home, v := newTestRouter(0, 2, 2)
+	other, _ := newTestRouter(1, 2, 2)
+	out := &Output{}
+	c := callerOf(v, 0)
+	rejection := packet.Build(testAddress, c, 5001, 0, header.TCPFlagRst, nil)
+	from := v.Targets[1].Addr
+	unknown := func() {
+		t.Helper()
+		asked := only(t, out, ToPeer)
+		passed(other, time.Second, v.Nodes[0].Data.Addr(), asked.Hop, rejection, out)
+		if len(out.Actions) != 0 {
+			t.Fatalf("passed on: %+v", out.Actions)
+		}
+	}
+	fromTarget(home, time.Second, from, rejection, out)
+	unknown()
+	fromTarget(other, time.Second, from, rejection, out)
+	passed(home, time.Second, v.Nodes[1].Data.Addr(), only(t, out, ToPeer).Hop, rejection, out)
+	unknown()
+	if other.Count(DropUnknownReset) != 2 {
+		t.Error("not counted")
+	}
+	answer := packet.Build(testAddress, c, 5001, 1005, header.TCPFlagAck|header.TCPFlagPsh, []byte("done"))
+	fromTarget(other, 2*time.Second, from, answer, out) // which shows that the target had the flow
+	fromTarget(other, 2*time.Second, from, rejection, out)
+	passed(home, 2*time.Second, v.Nodes[1].Data.Addr(), only(t, out, ToPeer).Hop, rejection, out)
+	only(t, out, ToCaller)
+}
+
+// A candidate's rejection comes to a balancer that does not probe, and the probe stays with
+// that candidate until the caller gives up.
+func TestRejectionFindsTheBalancerThatProbes(t *testing.T) {
+	home, v := newTestRouter(0, 2, 2)
+	prober, _ := newTestRouter(1, 2, 2)
+	out := &Output{}
+	c := callerOf(v, 0)
+	data := packet.Build(c, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
+	alone := testView(1, 2, 2)
+	alone.Nodes[0].Serving = false
+	prober.SetView(0, alone)
+	back := geneve.Hop{Kind: geneve.Ask, Count: 5, Flags: geneve.FlagExhausted}
+	passed(prober, time.Second, v.Nodes[0].Data.Addr(), back, data, out)
+	probed := only(t, out, ToTarget).Target
+	fromTarget(home, time.Second, probed, packet.Build(testAddress, c, 5001, 0, header.TCPFlagRst, nil), out)
+	asked := only(t, out, ToPeer)
+	passed(prober, time.Second, v.Nodes[0].Data.Addr(), asked.Hop, asked.Packet, out)
+	if a := only(t, out, ToTarget); a.Target != otherThan(v, probed) {
+		t.Fatalf("the next candidate was not tried: %+v", a)
+	}
+}
+
+// A probe stays with a candidate whose rejection went to another balancer, and drops the
+// answers of the flow's own target.
+func TestAnswerOfTheOwnTargetEndsAProbe(t *testing.T) {
+	r, v := newTestRouter(0, 1, 2)
+	out := &Output{}
+	data := packet.Build(testCaller, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
+	fromCaller(r, time.Second, data, out)
+	own := otherThan(v, only(t, out, ToTarget).Target)
+	answer := packet.Build(testAddress, testCaller, 5001, 1005, header.TCPFlagAck|header.TCPFlagPsh, []byte("done"))
+	fromTarget(r, time.Second, own, answer, out)
+	only(t, out, ToCaller)
+	fromCaller(r, time.Second, data, out)
+	if a := only(t, out, ToTarget); a.Target != own {
+		t.Fatalf("the caller's packet went to %s", a.Target)
+	}
+}
+
+// A home with an opening in its queue, which a balancer that has forgotten it had accepted
+// elsewhere, drops what the caller sends on its connection until the opening is refused.
+func TestCallerAcceptedByAForgottenHomeIsFound(t *testing.T) {
+	r, v := newTestRouter(0, 2, 1)
+	out := &Output{}
+	c := callerOf(v, 0)
+	fromCaller(r, time.Second, syn(c, testAddress, 1000), out)
+	target := only(t, out, ToTarget).Target
+	data := packet.Build(c, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
+	fromCaller(r, time.Second, data, out)
+	asked := only(t, out, ToPeer)
+	back := geneve.Hop{Kind: geneve.Ask, Count: asked.Hop.Count + 1, Flags: geneve.FlagExhausted}
+	passed(r, time.Second, v.Nodes[1].Data.Addr(), back, data, out)
+	if a := only(t, out, ToTarget); a.Target != target || r.Count(RetryProbe) != 1 {
+		t.Fatalf("the caller's request went on as %+v", a)
+	}
+	answer := packet.Build(testAddress, c, 5001, 1005, header.TCPFlagAck|header.TCPFlagPsh, []byte("done"))
+	fromTarget(r, time.Second, target, answer, out)
+	only(t, out, ToCaller)
+}
--- /dev/null
+++ b/internal/router/refusal_test.go
@@ -0,0 +1,108 @@
+package router
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gvisor.dev/gvisor/pkg/tcpip/header"
+
+	"rosedale.dev/rosedale/internal/balance"
+	"rosedale.dev/rosedale/internal/packet"
+)
+
+// Every slot is taken and the admission deadline passes. The caller sees
+// "connection refused" and may safely try again: nothing reached a target, and
+// a repeated opening packet gets the same answer.
+func TestRefusedAtDeadlineReachedNoTarget(t *testing.T) {
+	r, _ := newTestRouter(0, 1, 1)
+	out := &Output{}
+	for i := range 2 {
+		fromCaller(r, time.Second, syn(netip.AddrPortFrom(testCaller.Addr(), uint16(1000+i)), slotAddress, 1000), out)
+		only(t, out, ToTarget)
+	}
+	fromCaller(r, time.Second, syn(testCaller, slotAddress, 1000), out)
+	if len(out.Actions) != 0 {
+		t.Fatalf("a full target got %+v", out.Actions)
+	}
+	out.Reset()
+	r.Tick(3100*time.Millisecond, out)
+	refused := 0
+	for _, a := range out.Actions {
+		seg := parsed(t, a)
+		if a.To == ToCaller && seg.Dst == testCaller && seg.IsReset() {
+			refused++
+		}
+		if a.To == ToTarget && seg.Src == testCaller {
+			t.Fatal("the refused opening reached a target")
+		}
+	}
+	if refused != 1 || r.Count(RefuseDeadline) != 1 {
+		t.Fatalf("refused %d times, counted %d", refused, r.Count(RefuseDeadline))
+	}
+	fromCaller(r, 3200*time.Millisecond, syn(testCaller, slotAddress, 1000), out)
+	if seg := parsed(t, only(t, out, ToCaller)); !seg.IsReset() {
+		t.Fatal("a repeated opening packet was not refused")
+	}
+}
+
+// The only target runs one note and leaves the opening of the next unanswered
+// until its deadline. The refusal must free that one's slot and no other, or
+// the target runs more notes than it has slots.
+func TestUnansweredRefusalFreesItsOwnSlot(t *testing.T) {
+	r, _ := newTestRouter(0, 1, 1)
+	out := &Output{}
+	holder := netip.AddrPortFrom(testCaller.Addr(), 1000)
+	fromCaller(r, time.Second, syn(holder, slotAddress, 1000), out)
+	fromTarget(r, time.Second, only(t, out, ToTarget).Target, synAck(holder, slotAddress), out)
+	fromCaller(r, time.Second, syn(testCaller, slotAddress, 1000), out)
+	for ms := 1600; ms <= 4000; ms += 600 {
+		r.Tick(time.Duration(ms)*time.Millisecond, out)
+	}
+	if r.Count(RefuseUnanswered) != 1 {
+		t.Fatal("not refused")
+	}
+	if n := r.pools[testService].Used(1, balance.Slot); n != 1 {
+		t.Fatalf("%d slots are counted, one is in use", n)
+	}
+}
+
+// A refusal is overtaken by a connection that another home gave the caller: the refused
+// opening's home resets its target, and with it the caller's connection.
+func TestAcceptanceAfterRefusalIsTheCallersToJudge(t *testing.T) {
+	r, v := newTestRouter(0, 2, 1)
+	out := &Output{}
+	c := callerOf(v, 0)
+	fromCaller(r, time.Second, syn(c, testAddress, 1000), out)
+	target := only(t, out, ToTarget).Target
+	for at := 1600 * time.Millisecond; r.Count(RefuseUnanswered) == 0; at += 600 * time.Millisecond {
+		r.Tick(at, out)
+	}
+	fromTarget(r, 5*time.Second, target, synAck(c, testAddress), out)
+	if seg := parsed(t, only(t, out, ToCaller)); !seg.IsAccept() {
+		t.Fatalf("the caller got %+v", seg)
+	}
+	fromCaller(r, 5*time.Second, packet.Build(c, testAddress, 1001, 0, header.TCPFlagRst, nil), out)
+	if a := only(t, out, ToTarget); a.Target != target || !parsedReset(t, a) {
+		t.Fatalf("the caller's reset went on as %+v", a)
+	}
+	if n := r.pools[testService].Used(1, balance.Connection); n != 0 {
+		t.Fatalf("%d connections are counted", n)
+	}
+}
+
+// A refused caller that has its connection by another home sends its request, and the answer
+// is dropped at the home that refused.
+func TestAnswerAfterRefusalReachesItsCaller(t *testing.T) {
+	r, v := newTestRouter(0, 2, 1)
+	out := &Output{}
+	c := callerOf(v, 0)
+	fromCaller(r, time.Second, syn(c, testAddress, 1000), out)
+	target := only(t, out, ToTarget).Target
+	for at := 1600 * time.Millisecond; r.Count(RefuseUnanswered) == 0; at += 600 * time.Millisecond {
+		r.Tick(at, out)
+	}
+	answer := packet.Build(testAddress, c, 5001, 1005, header.TCPFlagAck|header.TCPFlagPsh, []byte("done"))
+	fromTarget(r, 5*time.Second, target, answer, out)
+	only(t, out, ToCaller)
+}
