Settings of a member may name the address that its packets come from

A balancer that has just started knows the others by its settings, and believes what they pass on only from the address named there; in the test bed that is the relay's, and theirs is another until a first heartbeat is heard, which takes long when processors are starved.

A deployment whose packets pass a translation between VMs needs the same: member.source. The test bed sets it.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -205,5 +205,10 @@
 	for _, r := range l.group.Members() {
 		out = append(out, r.Data.Addr())
 	}
+	for _, m := range l.set.Members {
+		if m.Source.IsValid() {
+			out = append(out, m.Source)
+		}
+	}
 	return out
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -111,6 +111,8 @@
 	DataCenter string         `toml:"data_center" json:"data_center"`
 	Data       netip.AddrPort `toml:"data" json:"data"`
 	Control    netip.AddrPort `toml:"control" json:"control"`
+	// Source is the address that its packets come from, if it is not that of Data.
+	Source netip.Addr `toml:"source" json:"-"`
 }
 
 // Duration is a time.Duration that TOML writes as text.
--- a/internal/testbed/settings.go
+++ b/internal/testbed/settings.go
@@ -43,6 +43,9 @@
 			data, control = b.proxied(x, o, dataPort), b.proxied(x, o, controlPort)
 		}
 		line("[[member]]\nname = %q\ndata_center = %q\ndata = \"%s\"\ncontrol = \"%s\"", o.Name, o.DataCenter, data, control)
+		if b.Proxy {
+			line("source = \"%s\"", o.IP) // known before its first record is heard
+		}
 	}
 	return s.String()
 }
