Whoever has a flow, and its target's repeated SYN-ACK, end a probe of another candidate

'drop_late_accept ... state probing' drops the SYN-ACKs of the flow's own target meanwhile, which waits for the acknowledgement that the probe kept from it.

Mend: a balancer that has the flow confirmed corrects the others on such a rejection too; a SYN-ACK whose number the probed packet acknowledges ends the probe, also one that a home asks about; and the kept packet goes to the target at once in both cases. TestHomeTellsTheBalancerThatProbes and TestRepeatedAcceptanceEndsAProbe fail without it.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"gvisor.dev/gvisor/pkg/tcpip/header"
-
 	"rosedale.dev/rosedale/internal/flow"
 	"rosedale.dev/rosedale/internal/geneve"
 )
@@ -95,17 +93,22 @@
 // isBare reports whether an answer carries neither payload nor an end.
 func (c *call) isBare() bool { return c.seg.PayloadLen == 0 && !c.seg.IsFin() }
 
-// correct replaces a learned target by the home's. It never touches a flow
-// that this balancer decided itself.
+// correct replaces a learned target, or the candidate of a probe, by the home's. It never
+// touches a flow that this balancer decided itself.
 func (c *call) correct(id uint32) {
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
 	e, ok := c.load()
-	if ok && e.State == flow.Learned && e.Flags&flow.Counted == 0 {
-		c.r.Note(FlowCorrected)
-		e.Target = id
-		c.r.store(e)
+	if !ok || e.Flags&flow.Counted != 0 || e.State != flow.Learned && e.State != flow.Probing {
+		return
+	}
+	c.decide(FlowCorrected, &e)
+	if e.State == flow.Probing {
+		c.endProbe(&e, id)
+		return
 	}
+	e.Target = id
+	c.r.store(e)
 }
 
 func (c *call) answerAtHome(id uint32) {
@@ -307,13 +310,17 @@
 // which has yet to hear of it. It shows as a reset by this one's target, to which the
 // correction sends the caller's packets. So nobody is corrected to a target whose
 // acceptance the caller has not confirmed.
+//
+// Failure: another balancer, home by its own view, probes for a flow that this one has, and
+// the candidate's rejection comes here. It shows as a probe that stays with its candidate. So
+// a reset has the others corrected too if the caller has confirmed the flow.
 func (c *call) crossed(e *flow.Entry, id uint32) {
 	if c.seg.IsAccept() {
 		c.rejectAccept(e, true, id)
 		return
 	}
 	c.decide(DropCrossedAnswer, e)
-	if e.Target == 0 || e.State == flow.Accepted || c.seg.Flags&header.TCPFlagRst != 0 {
+	if e.Target == 0 || e.State == flow.Accepted || c.seg.IsReset() && e.State != flow.Open {
 		return
 	}
 	hop := geneve.Hop{Kind: geneve.Correct, Count: 1, Target: c.v.Targets[e.Target].Addr}
--- a/internal/router/former.go
+++ b/internal/router/former.go
@@ -44,6 +44,9 @@
 	case e.State == flow.Handed:
 		c.acceptOfHanded(e, id)
 		return true
+	case c.acceptOfProbed(e):
+		c.endProbe(e, id)
+		return true
 	case e.Target == id:
 		return false
 	case c.acceptedWithoutTarget(e, id):
@@ -140,6 +143,8 @@
 		return c.seg.Ack == e.Seq+1
 	case flow.Accepted:
 		return c.seg.Seq == e.Seq
+	case flow.Probing:
+		return c.acceptOfProbed(e)
 	case flow.Open:
 		return sameIncarnation(e, c.seg.Ack)
 	}
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -113,6 +113,25 @@
 	return true
 }
 
+// endProbe records the target of a flow that was probed for, and sends it the packet that the
+// probe kept: its caller's next copy may be seconds away.
+func (c *call) endProbe(e *flow.Entry, id uint32) {
+	p := c.r.probes[e.Key]
+	delete(c.r.probes, e.Key)
+	e.Target, e.State = id, flow.Learned
+	c.r.store(*e)
+	if p != nil {
+		c.out.target(c.v, id, p.packet)
+	}
+}
+
+// acceptOfProbed reports whether a SYN-ACK shows whose flow is probed for: its target repeats
+// it until the caller's acknowledgement comes, which the probe kept from it.
+func (c *call) acceptOfProbed(e *flow.Entry) bool {
+	p := c.r.probes[e.Key]
+	return e.State == flow.Probing && p != nil && c.seg.Seq+1 == p.ack
+}
+
 // nobodyHas ends a probe that every candidate rejected with a reset to the
 // caller, so that it reconnects rather than hangs.
 //
--- a/internal/router/probe_test.go
+++ b/internal/router/probe_test.go
@@ -1,12 +1,14 @@
 package router
 
 import (
+	"bytes"
 	"net/netip"
 	"testing"
 	"time"
 
 	"gvisor.dev/gvisor/pkg/tcpip/header"
 
+	"rosedale.dev/rosedale/internal/flow"
 	"rosedale.dev/rosedale/internal/geneve"
 	"rosedale.dev/rosedale/internal/packet"
 )
@@ -169,3 +171,61 @@
 	fromTarget(r, time.Second, target, answer, out)
 	only(t, out, ToCaller)
 }
+
+// A candidate's rejection comes to the balancer that has the flow, and the one that probes
+// stays with that candidate.
+func TestHomeTellsTheBalancerThatProbes(t *testing.T) {
+	home, v := newTestRouter(0, 2, 2)
+	prober, _ := newTestRouter(1, 2, 2)
+	out := &Output{}
+	c := callerOf(v, 0)
+	alone := testView(1, 2, 2)
+	alone.Nodes[0].Serving = false
+	prober.SetView(0, alone)
+	data := packet.Build(c, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
+	back := geneve.Hop{Kind: geneve.Ask, Count: 5, Flags: geneve.FlagExhausted}
+	passed(prober, time.Second, v.Nodes[0].Data.Addr(), back, data, out)
+	probed := only(t, out, ToTarget).Target
+	own := otherThan(v, probed)
+	home.Take(time.Second, []Moved{{Caller: c, Address: testAddress, Target: own, Seq: 1001, State: flow.Open}}, out)
+	fromTarget(home, time.Second, probed, packet.Build(testAddress, c, 5001, 0, header.TCPFlagRst, nil), out)
+	told := only(t, out, ToPeer)
+	passed(prober, time.Second, v.Nodes[0].Data.Addr(), told.Hop, told.Packet, out)
+	if a := only(t, out, ToTarget); a.Target != own || !bytes.Equal(a.Packet, data) {
+		t.Fatalf("the probed packet went on as %+v", a)
+	}
+	fromCaller(prober, time.Second, data, out)
+	if a := only(t, out, ToTarget); a.Target != own {
+		t.Fatalf("the caller's next packet went to %s", a.Target)
+	}
+}
+
+// The caller's acknowledgement is lost in a probe, and its target repeats the SYN-ACK, which
+// is dropped where the probe stays with another candidate, as a home asks about it too.
+func TestRepeatedAcceptanceEndsAProbe(t *testing.T) {
+	for _, flags := range []uint8{0, geneve.FlagFormer, geneve.FlagFormer | geneve.FlagCrossed} {
+		acceptedWhileProbed(t, flags)
+	}
+}
+
+func acceptedWhileProbed(t *testing.T, flags uint8) {
+	t.Helper()
+	r, v := newTestRouter(0, 1, 2)
+	out := &Output{}
+	data := packet.Build(testCaller, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
+	fromCaller(r, time.Second, data, out)
+	own := otherThan(v, only(t, out, ToTarget).Target)
+	strange := packet.Build(testAddress, testCaller, 7000, 1001, header.TCPFlagSyn|header.TCPFlagAck, nil)
+	hop := geneve.Hop{Kind: geneve.Answer, Count: openingHops, Flags: flags, Target: own}
+	from := v.Nodes[0].Data.Addr()
+	passed(r, time.Second, from, hop, strange, out)
+	if count(out.Actions, ToTarget) != 0 {
+		t.Fatalf("a SYN-ACK with other numbers counts: %+v", out.Actions)
+	}
+	r, v = newTestRouter(0, 1, 2)
+	fromCaller(r, time.Second, data, out)
+	passed(r, time.Second, from, hop, synAck(testCaller, testAddress), out)
+	if a := only(t, out, ToTarget); a.Target != own || !bytes.Equal(a.Packet, data) {
+		t.Fatalf("the probed packet went on as %+v", a)
+	}
+}
