--- a/internal/router/probe_test.go
+++ b/internal/router/probe_test.go
@@ -222,7 +222,7 @@
 	if count(out.Actions, ToTarget) != 0 {
 		t.Fatalf("a SYN-ACK with other numbers counts: %+v", out.Actions)
 	}
-	r, v = newTestRouter(0, 1, 2)
+	r, _ = newTestRouter(0, 1, 2)
 	fromCaller(r, time.Second, data, out)
 	passed(r, time.Second, from, hop, synAck(testCaller, testAddress), out)
 	if a := only(t, out, ToTarget); a.Target != own || !bytes.Equal(a.Packet, data) {
