--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -155,12 +155,8 @@
 }
 
 // probeExhausted looks for the flow's target among the candidates when no balancer that
-// was asked knows it.
-//
-// Failure: views differ, and a balancer that is not asked gave the caller its connection,
-// often to the very target of the opening here. It shows as a caller whose packets are
-// dropped until the opening is refused. They show by their numbers that it was accepted, so
-// that the opening ends.
+// was asked knows it. An opening here ends if the packet's numbers show that the caller has a
+// connection already: by a balancer that was not asked, often to the opening's own target.
 func (c *call) probeExhausted(e flow.Entry, known bool) {
 	if known && !c.acceptedUnseen(&e) {
 		c.decide(DropMidOpening, &e)
--- a/internal/router/former.go
+++ b/internal/router/former.go
@@ -58,11 +58,8 @@
 	return c.crossedAccept(e, id)
 }
 
-// acceptOfHanded passes a SYN-ACK of an opening that was handed over to its new home.
-//
-// Failure: two balancers take each other for the home, and the hop limit ends the SYN-ACK
-// here each time the target repeats it. It shows as an opening that its new home refuses as
-// unanswered.
+// acceptOfHanded passes a SYN-ACK of an opening that was handed over to its new home, which
+// may never get it otherwise: two balancers that take each other for the home end it here.
 func (c *call) acceptOfHanded(e *flow.Entry, id uint32) {
 	if c.isHome() || c.hop.Flags&geneve.FlagFormer != 0 {
 		c.decide(DropLateAccept, e) // its home has it already
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -86,23 +86,17 @@
 	c.out.target(c.v, e.Target, c.seg.Raw)
 }
 
-// answersProbe reports whether an answer of the candidate that is being probed continues
-// the numbers that the caller acknowledged.
-//
-// Failure: a candidate has a half-open connection of the same caller, and answers a copy of
-// the opening packet with a bare acknowledgement. It shows as a flow that is given to it,
-// whose next packet it resets.
+// answersProbe reports whether an answer continues the numbers that the probed packet
+// acknowledges. A candidate with a half-open connection of the caller answers too, with
+// numbers of its own.
 func (c *call) answersProbe(e *flow.Entry) bool {
 	p := c.r.probes[e.Key]
 	return p == nil || near(c.seg.Seq, p.ack)
 }
 
 // foundAtOther ends a probe when another target than the candidate answers with the numbers
-// that the caller acknowledged.
-//
-// Failure: a candidate's rejection comes to a balancer that does not probe. It shows as a
-// probe that stays with this candidate, while the answers of the flow's own target are
-// dropped here as crossed until the caller gives up.
+// that the caller acknowledged. The candidate's rejection may have gone to a balancer that
+// does not probe.
 func (c *call) foundAtOther(e *flow.Entry, id uint32) bool {
 	plain := !c.seg.IsAccept() && !c.seg.IsReset() && !c.isBare()
 	if e.State != flow.Probing || e.Target == id || !plain || !c.answersProbe(e) {
--- a/internal/router/probe_test.go
+++ b/internal/router/probe_test.go
@@ -112,20 +112,28 @@
 	only(t, out, ToCaller)
 }
 
+// probing is a balancer that takes itself for a flow's home, and probes for its target. It
+// returns the candidate and the packet.
+func probing(t *testing.T, v *View, c netip.AddrPort) (*Router, netip.Addr, []byte) {
+	t.Helper()
+	r, _ := newTestRouter(1, 2, 2)
+	alone := testView(1, 2, 2)
+	alone.Nodes[0].Serving = false
+	r.SetView(0, alone)
+	out := &Output{}
+	data := packet.Build(c, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
+	back := geneve.Hop{Kind: geneve.Ask, Count: 5, Flags: geneve.FlagExhausted}
+	passed(r, time.Second, v.Nodes[0].Data.Addr(), back, data, out)
+	return r, only(t, out, ToTarget).Target, data
+}
+
 // A candidate's rejection comes to a balancer that does not probe, and the probe stays with
 // that candidate until the caller gives up.
 func TestRejectionFindsTheBalancerThatProbes(t *testing.T) {
 	home, v := newTestRouter(0, 2, 2)
-	prober, _ := newTestRouter(1, 2, 2)
 	out := &Output{}
 	c := callerOf(v, 0)
-	data := packet.Build(c, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
-	alone := testView(1, 2, 2)
-	alone.Nodes[0].Serving = false
-	prober.SetView(0, alone)
-	back := geneve.Hop{Kind: geneve.Ask, Count: 5, Flags: geneve.FlagExhausted}
-	passed(prober, time.Second, v.Nodes[0].Data.Addr(), back, data, out)
-	probed := only(t, out, ToTarget).Target
+	prober, probed, _ := probing(t, v, c)
 	fromTarget(home, time.Second, probed, packet.Build(testAddress, c, 5001, 0, header.TCPFlagRst, nil), out)
 	asked := only(t, out, ToPeer)
 	passed(prober, time.Second, v.Nodes[0].Data.Addr(), asked.Hop, asked.Packet, out)
@@ -176,16 +184,9 @@
 // stays with that candidate.
 func TestHomeTellsTheBalancerThatProbes(t *testing.T) {
 	home, v := newTestRouter(0, 2, 2)
-	prober, _ := newTestRouter(1, 2, 2)
 	out := &Output{}
 	c := callerOf(v, 0)
-	alone := testView(1, 2, 2)
-	alone.Nodes[0].Serving = false
-	prober.SetView(0, alone)
-	data := packet.Build(c, testAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
-	back := geneve.Hop{Kind: geneve.Ask, Count: 5, Flags: geneve.FlagExhausted}
-	passed(prober, time.Second, v.Nodes[0].Data.Addr(), back, data, out)
-	probed := only(t, out, ToTarget).Target
+	prober, probed, data := probing(t, v, c)
 	own := otherThan(v, probed)
 	home.Take(time.Second, []Moved{{Caller: c, Address: testAddress, Target: own, Seq: 1001, State: flow.Open}}, out)
 	fromTarget(home, time.Second, probed, packet.Build(testAddress, c, 5001, 0, header.TCPFlagRst, nil), out)
--- a/internal/router/refusal_test.go
+++ b/internal/router/refusal_test.go
@@ -67,17 +67,21 @@
 	}
 }
 
+// refusedHere is a stream that a router refused as its home, since its target was silent.
+func refusedHere(t *testing.T) openedHere {
+	t.Helper()
+	o := openHere(t)
+	for at := 1600 * time.Millisecond; o.r.Count(RefuseUnanswered) == 0; at += 600 * time.Millisecond {
+		o.r.Tick(at, o.out)
+	}
+	return o
+}
+
 // A refusal is overtaken by a connection that another home gave the caller: the refused
 // opening's home resets its target, and with it the caller's connection.
 func TestAcceptanceAfterRefusalIsTheCallersToJudge(t *testing.T) {
-	r, v := newTestRouter(0, 2, 1)
-	out := &Output{}
-	c := callerOf(v, 0)
-	fromCaller(r, time.Second, syn(c, testAddress, 1000), out)
-	target := only(t, out, ToTarget).Target
-	for at := 1600 * time.Millisecond; r.Count(RefuseUnanswered) == 0; at += 600 * time.Millisecond {
-		r.Tick(at, out)
-	}
+	o := refusedHere(t)
+	r, c, target, out := o.r, o.caller, o.target, o.out
 	fromTarget(r, 5*time.Second, target, synAck(c, testAddress), out)
 	if seg := parsed(t, only(t, out, ToCaller)); !seg.IsAccept() {
 		t.Fatalf("the caller got %+v", seg)
@@ -94,14 +98,8 @@
 // A refused caller that has its connection by another home sends its request, and the answer
 // is dropped at the home that refused.
 func TestAnswerAfterRefusalReachesItsCaller(t *testing.T) {
-	r, v := newTestRouter(0, 2, 1)
-	out := &Output{}
-	c := callerOf(v, 0)
-	fromCaller(r, time.Second, syn(c, testAddress, 1000), out)
-	target := only(t, out, ToTarget).Target
-	for at := 1600 * time.Millisecond; r.Count(RefuseUnanswered) == 0; at += 600 * time.Millisecond {
-		r.Tick(at, out)
-	}
+	o := refusedHere(t)
+	r, c, target, out := o.r, o.caller, o.target, o.out
 	answer := packet.Build(testAddress, c, 5001, 1005, header.TCPFlagAck|header.TCPFlagPsh, []byte("done"))
 	fromTarget(r, 5*time.Second, target, answer, out)
 	only(t, out, ToCaller)
--- a/internal/router/silent.go
+++ b/internal/router/silent.go
@@ -80,9 +80,8 @@
 // segment seconds later. It shows as a reset of a flow that both ends hold, as its own
 // answer is taken for one to another flow. Answers of the flow itself begin the count anew.
 //
-// Failure: a segment is lost behind the home, or its answer after it passed another
-// balancer, and the caller repeats it once, seconds later. It shows as a reset of a flow
-// that both ends hold. So the home repeats the segment itself, and asks the other balancers.
+// Segments get lost behind the home, and answers after they passed another balancer: the
+// home repeats the segment itself, and asks the others, before it resets a flow.
 func (c *call) resetSilent(e *flow.Entry) bool {
 	if c.seg.PayloadLen < minSilentPayload || e.State == flow.Closing {
 		return false
