link: messages to a replaced balancer no longer go to its earlier process

A balancer replaced during a store outage was never ready.

Cause: a peer's earlier connection stayed in use for sending after its new process had opened another. If the close of the earlier one was lost or not sent, nobody read what was sent there, up to the idle timeout of 45 s, and the new process, which heard nobody, was declared dead while it served.

Change: messages are sent on the connection on which the peer was heard last. A connection on which messages are sent and no packet arrives in four checks, one second, is closed. All connections end at the maximum age, also those that only receive, and are closed before the link's Run returns. Counters link_unanswered and link_replaced; each connection that is opened, failed, replaced, unanswered or ended is logged with its peer.

Why it holds: the peer's own message shows which process lives, whatever the order in which connections are accepted; neither side closes the other's connection, so that two that dial each other at once keep both (TestConnectionsInBothDirections).

--- a/internal/daemon/collector.go
+++ b/internal/daemon/collector.go
@@ -42,6 +42,8 @@
 		m.Counter("link_dial_errors", ln.Count.DialErrors.Load)
 		m.Counter("link_refused", ln.Count.Refused.Load)
 		m.Counter("link_renewed", ln.Count.Renewed.Load)
+		m.Counter("link_unanswered", ln.Count.Unanswered.Load)
+		m.Counter("link_replaced", ln.Count.Replaced.Load)
 		m.Gauge("link_certificate_seconds", func() float64 { return files.RemainingValidity(time.Now()).Seconds() })
 		m.Counter("link_send_errors", ln.Count.SendErrors.Load)
 		m.Counter("link_undecodable", ln.Count.Undecodable.Load)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,9 @@
 	"rosedale.dev/rosedale/internal/store"
 )
 
+// linkCloseTimeout limits the time for closing the connections to other balancers.
+const linkCloseTimeout = time.Second
+
 // Run runs a balancer until ctx ends, and then hands its flows over and stops. It returns
 // early if the admin endpoint fails.
 func Run(ctx context.Context, set settings.Settings, log *logging.Logger) error {
@@ -38,10 +41,11 @@
 	defer plane.Close()
 	loopCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	ln, err := openLink(loopCtx, set, log.Logger)
+	ln, closed, err := openLink(loopCtx, set, log.Logger)
 	if err != nil {
 		return err
 	}
+	defer func() { stop(); waitClosed(closed, log.Logger) }()
 	loop := control.New(set, log.Logger, r, plane, ln, openStore(set))
 	m := newCollector(r, plane, loop, ln, set.Keys)
 	m.Counter("log_lines_lost", log.Lost)
@@ -66,22 +70,37 @@
 	return nil
 }
 
-// openLink opens the link to other balancers and runs it until ctx ends. It returns nil if
-// the settings contain no control address: the balancer then runs alone.
-func openLink(ctx context.Context, set settings.Settings, log *zap.Logger) (*link.Link, error) {
+// openLink opens the link to other balancers and runs it until ctx ends. The channel is
+// closed when the link has closed its connections. The link is nil if the settings contain
+// no control address: the balancer then runs alone.
+func openLink(ctx context.Context, set settings.Settings, log *zap.Logger) (*link.Link, <-chan struct{}, error) {
+	closed := make(chan struct{})
 	if !set.Control.Listen.IsValid() {
-		return nil, nil
+		close(closed)
+		return nil, closed, nil
 	}
-	ln, err := link.New(set.Control.Listen, set.Keys)
+	ln, err := link.New(set.Control.Listen, set.Keys, log)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	go func() {
+		defer close(closed)
 		if err := ln.Run(ctx); err != nil {
 			log.Error("control socket failed", zap.Error(err))
 		}
 	}()
-	return ln, nil
+	return ln, closed, nil
+}
+
+// waitClosed waits until the link has closed its connections. Otherwise the process could
+// end before the peers have been sent the close, and they would send to the connections of
+// a process that no longer exists.
+func waitClosed(closed <-chan struct{}, log *zap.Logger) {
+	select {
+	case <-closed:
+	case <-time.After(linkCloseTimeout):
+		log.Warn("connections to other balancers are not closed in time")
+	}
 }
 
 // openStore returns the store's client, or nil if a catalogue folder replaces the store.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"io"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -15,6 +13,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
+	"go.uber.org/zap"
 
 	"rosedale.dev/rosedale/internal/keys"
 	"rosedale.dev/rosedale/internal/wire"
@@ -29,7 +28,10 @@
 	maxDatagram = 1000
 	inboxLength = 1024 // received messages that wait for the reader of Messages
 	// maxConnectionAge is the age, plus up to a quarter at random, at which connections
-	// are closed, so that the next handshake uses the current keys.
+	// are closed, so that the next handshake uses the current keys. Without this,
+	// connections made with a stolen key would stay open after the key was replaced
+	// everywhere, because heartbeats keep them alive. Later heartbeats repair the state of
+	// messages that are lost by closing.
 	maxConnectionAge = time.Hour
 )
 
@@ -42,6 +44,8 @@
 type Counts struct {
 	Dials, DialErrors, Refused, SendErrors, Undecodable, Overflow atomic.Uint64
 	Renewed                                                       atomic.Uint64 // connections closed at maxConnectionAge
+	Unanswered                                                    atomic.Uint64 // connections closed because the peer answered no message
+	Replaced                                                      atomic.Uint64 // changes to another connection of the same peer while the earlier one is open
 	BytesIn, BytesOut, Messages                                   atomic.Uint64
 	// Sent is the number of encoded bytes of the messages of each kind.
 	Sent [wire.Kinds]atomic.Uint64
@@ -57,18 +61,23 @@
 type Link struct {
 	Count Counts
 
+	log       *zap.Logger
 	maxAge    time.Duration // of a connection; see maxConnectionAge
 	transport *quic.Transport
 	tls       *tls.Config
 	quic      *quic.Config
 	incoming  chan Incoming
-	mu        sync.Mutex
+	running   sync.WaitGroup // goroutines that open or serve a connection
+	ctx       context.Context
+	stop      context.CancelFunc // ends ctx and with it all connections
+	mu        sync.Mutex         // guards what follows
+	closed    bool               // no more connections are opened
 	peers     map[string]*peer
 }
 
 // New opens the UDP socket at addr and loads the certificates in files.
-func New(addr netip.AddrPort, files keys.Files) (*Link, error) {
-	l := &Link{maxAge: maxConnectionAge}
+func New(addr netip.AddrPort, files keys.Files, log *zap.Logger) (*Link, error) {
+	l := &Link{log: log, maxAge: maxConnectionAge, peers: map[string]*peer{}}
 	conf, err := files.Load(func() { l.Count.Refused.Add(1) })
 	if err != nil {
 		return nil, err
@@ -87,7 +96,7 @@
 		DisablePathMTUDiscovery:        true,
 	}
 	l.incoming = make(chan Incoming, inboxLength)
-	l.peers = map[string]*peer{}
+	l.ctx, l.stop = context.WithCancel(context.Background())
 	l.transport = &quic.Transport{Conn: &countingConn{PacketConn: c, count: &l.Count}}
 	return l, nil
 }
@@ -95,30 +104,40 @@
 // Messages returns the channel of incoming messages.
 func (l *Link) Messages() <-chan Incoming { return l.incoming }
 
-// Run accepts connections until ctx ends, and then closes the socket.
+// Run accepts connections until ctx ends, and then closes all connections and the socket.
+// When it returns, the peers have been sent the close of each connection.
 func (l *Link) Run(ctx context.Context) error {
 	ln, err := l.transport.Listen(l.tls, l.quic)
 	if err != nil {
 		return errors.Wrap(err, "link: listen")
 	}
-	defer func() {
-		_ = l.transport.Close()
-		_ = l.transport.Conn.Close() // not closed by the transport
-	}()
+	defer l.close()
 	for {
 		c, err := ln.Accept(ctx)
 		if err != nil {
 			return nil
 		}
-		go l.accept(ctx, c)
+		l.running.Go(func() { l.accept(c) })
 	}
 }
 
+// close ends all connections and closes the socket.
+func (l *Link) close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.stop()
+	l.running.Wait()
+	_ = l.transport.Close()
+	_ = l.transport.Conn.Close() // not closed by the transport
+}
+
 // Send sends m to the member name at addr, and opens a connection if there is none. It
 // never blocks: messages wait in a short queue while a connection is being opened or is
 // slow. Messages that do not fit the queue are counted and dropped. Later heartbeats
 // repair the state that these carried, apart from handovers: without one, a new home asks,
-// probes, or waits for the caller's next opening packet.
+// probes, or waits for the caller's next opening packet. A connection that Send opens ends
+// with ctx.
 func (l *Link) Send(ctx context.Context, name string, addr netip.AddrPort, m *wire.Message) {
 	b, err := wire.Encode(m)
 	if err != nil {
@@ -129,162 +148,18 @@
 	l.Count.Sent[m.Kind].Add(uint64(len(b)))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := l.peers[name]
-	if p == nil {
-		p = newPeer()
-		l.peers[name] = p
-		go l.dial(ctx, name, addr, p)
-	}
-	if !p.push(b) {
+	if l.closed {
 		l.Count.SendErrors.Add(1)
-	}
-}
-
-func (l *Link) dial(ctx context.Context, name string, addr netip.AddrPort, p *peer) {
-	l.Count.Dials.Add(1)
-	dctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conf := l.tls.Clone()
-	conf.ServerName = name
-	c, err := l.transport.Dial(dctx, net.UDPAddrFromAddrPort(addr), conf, l.quic)
-	if err != nil {
-		l.Count.DialErrors.Add(1)
-		l.removePeer(name, p)
-		return
-	}
-	if keys.Name(c.ConnectionState().TLS) != name {
-		l.Count.Refused.Add(1)
-		_ = c.CloseWithError(1, "another name than expected")
-		l.removePeer(name, p)
-		return
-	}
-	go l.writeMessages(c, p)
-	l.readMessages(ctx, c, name)
-	l.removePeer(name, p)
-}
-
-// accept handles a connection that a peer opened. It is also used for sending if there is
-// no other connection to that peer.
-func (l *Link) accept(ctx context.Context, c *quic.Conn) {
-	name := keys.Name(c.ConnectionState().TLS)
-	if name == "" {
-		l.Count.Refused.Add(1)
-		_ = c.CloseWithError(1, "no name")
 		return
 	}
-	l.mu.Lock()
 	p := l.peers[name]
-	added := p == nil
-	if added {
+	if p == nil {
 		p = newPeer()
+		p.dialing = true
 		l.peers[name] = p
+		l.running.Go(func() { l.dial(ctx, name, addr, p) })
 	}
-	l.mu.Unlock()
-	if added {
-		go l.writeMessages(c, p)
-	}
-	l.readMessages(ctx, c, name)
-	if added {
-		l.removePeer(name, p)
-	}
-}
-
-func (l *Link) removePeer(name string, p *peer) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.peers[name] == p {
-		delete(l.peers, name)
-	}
-}
-
-// writeMessages sends a peer's messages in their order until the connection ends. Sending
-// a datagram can block, which delays only this peer.
-//
-// It closes the connection at maxAge. Without this, connections made with a stolen key
-// would stay open after the key was replaced everywhere, because heartbeats keep them
-// alive. Later heartbeats repair the state of messages that are lost by closing.
-func (l *Link) writeMessages(c *quic.Conn, p *peer) {
-	expired := time.NewTimer(l.maxAge + rand.N(l.maxAge/4))
-	defer expired.Stop()
-	for {
-		select {
-		case <-c.Context().Done():
-			return
-		case <-expired.C:
-			l.Count.Renewed.Add(1)
-			_ = c.CloseWithError(0, "renewed")
-			return
-		case b := <-p.out:
-			if len(b) <= maxDatagram && c.SendDatagram(b) == nil {
-				continue
-			}
-			ctx, cancel := context.WithTimeout(c.Context(), sendTimeout)
-			if err := sendStream(ctx, c, b); err != nil {
-				l.Count.SendErrors.Add(1)
-			}
-			cancel()
-		}
-	}
-}
-
-// sendStream sends one message on its own stream.
-func sendStream(ctx context.Context, c *quic.Conn, b []byte) error {
-	s, err := c.OpenUniStreamSync(ctx)
-	if err != nil {
-		return errors.Wrap(err, "link: open stream")
-	}
-	if d, ok := ctx.Deadline(); ok {
-		_ = s.SetWriteDeadline(d)
-	}
-	if _, err := s.Write(b); err != nil {
-		return errors.Wrap(err, "link: write")
-	}
-	return errors.Wrap(s.Close(), "link: close stream")
-}
-
-// readMessages delivers the messages of a connection until it ends.
-func (l *Link) readMessages(ctx context.Context, c *quic.Conn, name string) {
-	stop := context.AfterFunc(ctx, func() { _ = c.CloseWithError(0, "closing") })
-	defer stop()
-	defer func() { _ = c.CloseWithError(0, "") }()
-	go l.readStreams(ctx, c, name)
-	for {
-		b, err := c.ReceiveDatagram(ctx)
-		if err != nil {
-			return
-		}
-		l.deliver(name, b)
-	}
-}
-
-// readStreams delivers the messages that arrive on streams.
-func (l *Link) readStreams(ctx context.Context, c *quic.Conn, name string) {
-	for {
-		s, err := c.AcceptUniStream(ctx)
-		if err != nil {
-			return
-		}
-		go func() {
-			_ = s.SetReadDeadline(time.Now().Add(sendTimeout))
-			b, err := io.ReadAll(io.LimitReader(s, wire.MaxSize))
-			if err == nil {
-				l.deliver(name, b)
-			}
-		}()
-	}
-}
-
-// deliver queues a message for Messages. Messages under another name than that of the
-// peer's certificate are counted and dropped, as are those that do not fit the queue.
-func (l *Link) deliver(name string, b []byte) {
-	m, err := wire.Decode(b)
-	if err != nil || m.From != name {
-		l.Count.Undecodable.Add(1)
-		return
-	}
-	select {
-	case l.incoming <- Incoming{name, m}:
-	default:
-		l.Count.Overflow.Add(1)
+	if !p.push(b) {
+		l.Count.SendErrors.Add(1)
 	}
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"rosedale.dev/rosedale/internal/catalogue"
 	"rosedale.dev/rosedale/internal/keys"
 	"rosedale.dev/rosedale/internal/wire"
@@ -58,7 +60,7 @@
 
 func startWithAge(t *testing.T, f keys.Files, addr string, maxAge time.Duration) *Link {
 	t.Helper()
-	l, err := New(netip.MustParseAddrPort(addr), f)
+	l, err := New(netip.MustParseAddrPort(addr), f, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -1,15 +1,25 @@
 package link
 
+import (
+	"context"
+	"slices"
+)
+
 // queueLength is the maximum number of messages that wait for one peer.
 const queueLength = 32
 
-// peer is the queue of messages to one member. It exists while a connection to that
-// member is open or being opened.
+// peer is the queue of messages to one member, with the connections to it. It exists while
+// there is a connection to that member or one is being opened.
 type peer struct {
-	out chan []byte
+	out     chan []byte
+	dialing bool
+	// conns are the open connections. Messages are sent on the first one, on which the peer
+	// was heard last.
+	conns       []*connection
+	stopWriting context.CancelFunc // ends the sending on the first connection; nil without one
 }
 
-func newPeer() *peer { return &peer{make(chan []byte, queueLength)} }
+func newPeer() *peer { return &peer{out: make(chan []byte, queueLength)} }
 
 // push queues b, or returns false if the queue is full.
 func (p *peer) push(b []byte) bool {
@@ -20,3 +30,19 @@
 		return false
 	}
 }
+
+// unused reports whether there is no connection and none is being opened.
+func (p *peer) unused() bool { return len(p.conns) == 0 && !p.dialing }
+
+// sendsOn reports whether messages are sent on c.
+func (p *peer) sendsOn(c *connection) bool { return len(p.conns) > 0 && p.conns[0] == c }
+
+// moveToFront makes c the first connection.
+func (p *peer) moveToFront(c *connection) {
+	p.remove(c)
+	p.conns = slices.Insert(p.conns, 0, c)
+}
+
+func (p *peer) remove(c *connection) {
+	p.conns = slices.DeleteFunc(p.conns, func(x *connection) bool { return x == c })
+}
