router: the second balancer of a flow's order is asked too

What callers saw: a packet of a flow that only the second balancer of its order knows was probed instead of passed there; while views differ a probe may take longer than the caller waits.

Cause: askNext counted the asking balancer in its position. With the home left out, positions 0, 2 and 3 of the order were asked, never 1. askFormerHome, which does the same for answers, counts right.

Evidence: TestFirstBalancersOfTheOrderAreAsked, over fleets of 1 to 8 and each balancer that gets the packet first, failed from four balancers on: "asked [0 1], want [0 2 1] (home 3)", "asked [1 3 2], want [1 0 3] (home 7)".

Change: the position is the hop count less two, as the asking balancer is left out of the order that it looks at.

Twin: the other user of nextAfter is askFormerHome, which is right. By reading, the other orders of both daemons (balance.Pool, control's readers and checkers, slowstart's owners) contain the balancer that looks at them, and peer.Fleet inserts it at its own rank, so that no index counts it twice.

--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -109,13 +109,15 @@
 }
 
 // askNext passes the packet along the flow's rendezvous order, since the balancers next in it are
-// the most likely former or future homes. The hop count determines the position in that order.
-// After MaxAsk balancers the packet returns to the home, which probes.
+// the most likely former or future homes. The hop count determines the position in that order:
+// with count 2 this is the first balancer asked, which the order of nextAfter leaves out, so that
+// the second one is at position 0 as the first one was for the home. After MaxAsk balancers the
+// packet returns to the home, which probes.
 func (c *call) askNext() {
 	n := int(c.hop.Count)
 	hop := geneve.Hop{Kind: geneve.Ask, Count: c.hop.Count + 1}
 	if n <= c.r.settings.MaxAsk {
-		if i := c.v.nextAfter(c.addr.homeKey(c.flowHash), c.home, max(n-1, 0)); i >= 0 {
+		if i := c.v.nextAfter(c.addr.homeKey(c.flowHash), c.home, max(n-2, 0)); i >= 0 {
 			c.r.Increment(AskForwarded)
 			c.out.sendToPeer(c.v, i, c.addr.Service, hop, c.seg.Raw)
 			return
