router: a rejection that confirms a delivered acceptance ends the search

What callers saw: requests timed out after 10 s while balancers disagreed on the home of their flow: one probed, and the candidate's rejection reached another that had delivered the right target's SYN-ACK and told nobody.

Cause: a home in state accepted sent no correction at all, as its SYN-ACK may not be the one that the caller took. The rejection itself shows it: its number is the one that the probed packet acknowledges.

TestRejectionConfirmsADeliveredAcceptance failed before ("actions [], want one to 3").

Change: in this state a reset with exactly the number after the recorded one is followed by corrections; another number still corrects nobody, which the same test checks, and TestUnconfirmedAcceptanceCorrectsNobody.

--- a/internal/router/crossed.go
+++ b/internal/router/crossed.go
@@ -42,16 +42,30 @@
 // reset the flow.
 //
 // A reset may be the rejection of another balancer's probe; the correction
-// ends that probe.
+// ends that probe. It repeats the number that the probed packet acknowledges.
+// If that is the number after the recorded SYN-ACK, the caller has confirmed
+// that SYN-ACK to another balancer.
 func (c *call) dropCrossed(e *flow.Entry, id uint32) {
 	if c.seg.IsAccept() {
 		c.rejectAccept(e, true, id)
 		return
 	}
 	c.report(DropCrossedAnswer, e)
-	if e.Target == 0 || e.State == flow.Accepted || c.seg.IsReset() && e.State != flow.Open {
+	if e.Target == 0 || !c.mayCorrect(e) {
 		return
 	}
 	hop := geneve.Hop{Kind: geneve.Correct, Count: 1, Target: c.v.Targets[e.Target].Addr}
 	c.sendToPeers(hop, c.seg.Raw)
 }
+
+// mayCorrect reports whether the dropped answer of another target is followed by
+// corrections to the recorded one.
+func (c *call) mayCorrect(e *flow.Entry) bool {
+	switch {
+	case e.State == flow.Accepted:
+		return c.seg.IsReset() && c.seg.Seq == e.Seq+1
+	case c.seg.IsReset():
+		return e.State == flow.Open
+	}
+	return true
+}
--- a/internal/router/probe_test.go
+++ b/internal/router/probe_test.go
@@ -207,6 +207,26 @@
 	}
 }
 
+// A candidate's reset reaches the home, which has delivered another target's SYN-ACK and has
+// not seen the caller's acknowledgement: that packet is probed by a balancer with another view.
+// The reset repeats the acknowledged number, so that the home must send a correction, or the
+// search goes on until the caller gives up. A reset with another number proves nothing.
+func TestRejectionConfirmsADeliveredAcceptance(t *testing.T) {
+	o := openStreamAtHome(t)
+	c, own, other, out := o.caller, o.target, o.other, o.out
+	fromTarget(o.r, time.Second, own, synAck(c, testAddress), out)
+	only(t, out, ToCaller)
+	fromTarget(o.r, time.Second, other, packet.Build(testAddress, c, 5002, 0, header.TCPFlagRst, nil), out)
+	if len(out.Actions) != 0 {
+		t.Fatalf("a reset with another number caused %+v", out.Actions)
+	}
+	fromTarget(o.r, time.Second, other, packet.Build(testAddress, c, 5001, 0, header.TCPFlagRst, nil), out)
+	correction := only(t, out, ToPeer)
+	if correction.Hop.Kind != geneve.Correct || correction.Hop.Target != own {
+		t.Fatalf("sent to the other balancer: %+v", correction.Hop)
+	}
+}
+
 // A probe of another candidate keeps the caller's acknowledgement from the
 // flow's target, which retransmits its SYN-ACK. The SYN-ACK must end the
 // probe, also when another home asks about it.
