health: two findings within a second have different numbers

What callers saw: new flows could go to a target that its checker had found unhealthy, until a later heartbeat carried a further result: peers had ignored the change.

Cause: a finding's number was the time in seconds. The second of two results within one second, or any after the checker's clock stepped back, was not higher than the first, and peers keep the first.

Change: a result's number is raised above that of the checker's result before. The message is the same, so older balancers work with it.

Not changed: connection counts and findings are keyed by a 32-bit hash of the target. Two targets may share one; wire.TargetHash says what that may affect.

--- a/internal/health/table.go
+++ b/internal/health/table.go
@@ -52,9 +52,13 @@
 }
 
 // Result records the result of this balancer's own check of a target and reports whether
-// the finding changed. seq is the sequence number of the finding; it has to grow with
-// every result.
+// the finding changed. seq is the least sequence number of the finding; it is raised above
+// that of the finding before. Peers ignore a finding whose number is not higher, as when two
+// results arrive within a second and the number is the time in seconds.
 func (t *Table) Result(now time.Duration, self uint32, target uint32, ok bool, load float64, seq uint32) (changed bool) {
+	if old, known := t.get(target, self); known && !isNewer(seq, old.Seq) {
+		seq = old.Seq + 1
+	}
 	s := t.streak[target]
 	before := s
 	if ok {
@@ -84,7 +88,7 @@
 // than the checker's finding before. Without one, the target counted as healthy.
 func (t *Table) Merge(now time.Duration, h wire.Health) bool {
 	old, ok := t.get(h.Target, h.Checker)
-	if ok && int32(h.Seq-old.Seq) <= 0 {
+	if ok && !isNewer(h.Seq, old.Seq) {
 		return false
 	}
 	t.put(finding{h, now})
@@ -95,6 +99,9 @@
 	return true
 }
 
+// isNewer reports whether sequence number a is higher than b, also when a has wrapped.
+func isNewer(a, b uint32) bool { return int32(a-b) > 0 }
+
 func (t *Table) get(target, checker uint32) (finding, bool) {
 	for _, f := range t.findings[target] {
 		if f.Checker == checker {
--- a/internal/health/table_test.go
+++ b/internal/health/table_test.go
@@ -48,3 +48,20 @@
 		t.Fatal("the older finding replaced the newer one")
 	}
 }
+
+// Two results of a checker arrive within a second, whose time is their number, and the second
+// one changes the finding. Peers must take it over, or they would send flows to an unhealthy
+// target until a later result reaches them.
+func TestResultsWithinASecondAreDistinct(t *testing.T) {
+	const second = 1000
+	own, peer := NewTable(), NewTable()
+	for i, ok := range []bool{true, false, false, false} {
+		own.Result(time.Duration(i), 1, 7, ok, 0, second)
+		for _, h := range own.TakeDirty() {
+			peer.Merge(time.Duration(i), h)
+		}
+	}
+	if peer.State(1, 7, anyChecker).Healthy {
+		t.Error("the peer ignored the later finding")
+	}
+}
