edge: a heartbeat that waited in the socket proves nothing about the present

What callers saw: flows of a living target were reset as unknown by balancers that had started after the store was restored from an older copy.

Cause: a heartbeat tells the age of its sender's copy, which was counted from the time at which it was handled. A balancer that had been paused for 2.7 s handled heartbeats that had waited as long, took its own copy for current at a time at which nobody had read the store, and told all others, whose lists of targets then counted as complete without the target.

TestWaitingHeartbeatProvesOnlyItsOwnTime failed before: "the replica counts as current 146.178µs ago by a heartbeat that waited 500ms".

Change: the kernel records when a heartbeat arrives (SO_TIMESTAMPNS), and its report counts from then. Without a record, as for the first datagrams after the option is set, it counts as just arrived, as before.

Twin: changes fetched from peers and reads of the store count from the request, which is on the safe side. In rosedaled no age travels in messages.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"rosedale.dev/rosedale/internal/logging"
 	"rosedale.dev/rosedale/internal/peer"
 	"rosedale.dev/rosedale/internal/replica"
@@ -35,7 +32,7 @@
 	log     *logging.Logger
 	store   *platform.Store
 	checker *platform.Checker
-	udp     *net.UDPConn
+	udp     *heartbeatConn
 	srv     *http.Server
 	fetch   *http.Client
 
@@ -80,9 +77,9 @@
 }
 
 func newControl(e *Edge) (*control, error) {
-	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.boot.Control))
+	udp, err := listenHeartbeats(e.boot.Control)
 	if err != nil {
-		return nil, errors.Wrapf(err, "control: listen on %s", e.boot.Control)
+		return nil, err
 	}
 	c := &control{
 		edge:      e,
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -36,7 +36,7 @@
 func (c *control) receive() {
 	buf := make([]byte, peer.MaxMessage+1)
 	for {
-		n, _, err := c.udp.ReadFromUDPAddrPort(buf)
+		n, waited, err := c.udp.read(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -49,11 +49,14 @@
 			c.edge.counts.invalidHeartbeats.Add(1)
 			continue
 		}
-		c.tryPost(func() { c.handleHeartbeat(context.Background(), h) })
+		arrived := c.now() - waited
+		c.tryPost(func() { c.handleHeartbeat(context.Background(), h, arrived) })
 	}
 }
 
-func (c *control) handleHeartbeat(ctx context.Context, h peer.Heartbeat) {
+// handleHeartbeat handles a heartbeat that arrived at the given time, which may be long ago
+// if this process was paused.
+func (c *control) handleHeartbeat(ctx context.Context, h peer.Heartbeat, arrived time.Duration) {
 	now := c.now()
 	p := c.peers[h.From]
 	if p != nil && h.Leaving && !p.last.Leaving {
@@ -68,20 +71,21 @@
 	}
 	p.last, p.lastReceived = h, now
 	c.settleFromPeer(now, h)
-	if c.isBehind(now, h) && !c.reader.Succeeding() {
+	if c.isBehind(now, h, arrived) && !c.reader.Succeeding() {
 		c.fetchChanges(ctx, h.Control, h.Era, h.History)
 	}
 	c.applyFindings(now, h)
 }
 
-// isBehind evaluates a peer's report of its replica, and reports whether to fetch changes
-// from the peer. If it is unproven whether this replica lacks changes, it fetches them
-// from a reader, or from any peer if no reader has confirmed this replica for some time.
-func (c *control) isBehind(now time.Duration, h peer.Heartbeat) bool {
+// isBehind evaluates a peer's report of its replica, which arrived at the given time, and
+// reports whether to fetch changes from the peer. If it is unproven whether this replica
+// lacks changes, it fetches them from a reader, or from any peer if no reader has confirmed
+// this replica for some time.
+func (c *control) isBehind(now time.Duration, h peer.Heartbeat, arrived time.Duration) bool {
 	if h.Position == 0 {
 		return false
 	}
-	switch c.replica.Confirm(h.Revision(), h.LastChange, h.History, now-h.Age) {
+	switch c.replica.Confirm(h.Revision(), h.LastChange, h.History, arrived-h.Age) {
 	case replica.Behind:
 		return true
 	case replica.Unproven:
