replica: a restored store that was not read has not settled

Cause: after a restore, changes are held back until the targets have written their entries again, for a time on the clock. If the store could not be read meanwhile, the copy of before those writes was taken for the settled store.

TestUnreadStoreHasNotSettled failed with the rule by the clock ("[a] returned to a replica of before the store had settled").

Change: held changes apply, and the list counts as complete, once the settling time has passed and the copy is known to be current at its end, less the interval of reads that the settling time contains, so that a store that is read settles as soon as before.

Tests: TestSettling took a list of 12 s for complete by a store that settles until 13 s, which is this fault; it now asks for one of 13 s and the case of 12 s is in the new test, which wants the list of before the restore.

--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -73,9 +73,9 @@
 }
 
 // applyDeferredIfDue applies the deferred changes, as they are in the replica by then,
-// once the store has settled.
+// once the store has settled and the replica shows it.
 func (c *control) applyDeferredIfDue(now time.Duration) {
-	keys := c.settling.Settled(now)
+	keys := c.settling.Settled(now, now-c.replica.Age(now))
 	if len(keys) == 0 {
 		return
 	}
--- a/internal/replica/settling.go
+++ b/internal/replica/settling.go
@@ -54,10 +54,20 @@
 // Release cancels the deferral of a key that was written again.
 func (s *Settling) Release(key string) { delete(s.deferred, key) }
 
+// shown reports whether a replica that was current at the time proven shows the settled
+// store. The settling time ends with the time of a read, which a replica may lack.
+//
+// Guards against a store that cannot be read after a restore: a replica from before the
+// targets have written their entries again would be taken for the settled store.
+func (s *Settling) shown(now, proven time.Duration) bool {
+	return s.Left(now) == 0 && (s.until == 0 || proven >= s.until-ReadInterval)
+}
+
 // Settled returns the keys that were deferred and not written since, once the store has
-// settled. It returns them only once.
-func (s *Settling) Settled(now time.Duration) []string {
-	if s.Left(now) > 0 || len(s.deferred) == 0 {
+// settled and the replica, which was current at the time proven, shows it. It returns them
+// only once.
+func (s *Settling) Settled(now, proven time.Duration) []string {
+	if !s.shown(now, proven) || len(s.deferred) == 0 {
 		return nil
 	}
 	keys := slices.Sorted(maps.Keys(s.deferred))
@@ -72,7 +82,7 @@
 // a balancer that did not know it. If the store's list of targets counted as complete
 // without the target, the balancer would reset a live flow.
 func (s *Settling) Proven(now, proven time.Duration) time.Duration {
-	if s.Left(now) > 0 {
+	if !s.shown(now, proven) {
 		return min(proven, s.proven)
 	}
 	return proven
--- a/internal/replica/settling_test.go
+++ b/internal/replica/settling_test.go
@@ -11,7 +11,7 @@
 func TestSettling(t *testing.T) {
 	var s Settling
 	const length = 3 * time.Second
-	if s.Left(time.Second) != 0 || s.Proven(time.Second, 7) != 7 || s.Settled(time.Second) != nil {
+	if s.Left(time.Second) != 0 || s.Proven(time.Second, 7) != 7 || s.Settled(time.Second, 7) != nil {
 		t.Error("a store that was never restored is settling")
 	}
 	s.Begin(10*time.Second, length, 8*time.Second)
@@ -25,17 +25,35 @@
 	if got := s.Proven(12*time.Second, 11*time.Second); got != 8*time.Second {
 		t.Errorf("while settling: the list of targets was complete at %v, want 8s", got)
 	}
-	if got := s.Settled(12 * time.Second); got != nil {
+	if got := s.Settled(12*time.Second, 12*time.Second); got != nil {
 		t.Errorf("%v returned before the store has settled", got)
 	}
-	if got := s.Settled(13 * time.Second); !slices.Equal(got, []string{"a", "c"}) {
+	if got := s.Settled(13*time.Second, 13*time.Second); !slices.Equal(got, []string{"a", "c"}) {
 		t.Errorf("deferred keys %v, want a and c", got)
 	}
-	if got := s.Settled(14 * time.Second); got != nil {
+	if got := s.Settled(14*time.Second, 14*time.Second); got != nil {
 		t.Errorf("%v returned twice", got)
 	}
-	if got := s.Proven(13*time.Second, 12*time.Second); got != 12*time.Second {
-		t.Errorf("settled: the list of targets was complete at %v, want 12s", got)
+	if got := s.Proven(14*time.Second, 13*time.Second); got != 13*time.Second {
+		t.Errorf("settled: the list of targets was complete at %v, want 13s", got)
+	}
+}
+
+// The store cannot be read from shortly after a restore on. The replica lacks the entries
+// that are written again meanwhile, so that the time alone must not end the settling: flows
+// of a live target would be reset, and the target would count as gone.
+func TestUnreadStoreHasNotSettled(t *testing.T) {
+	var s Settling
+	s.Begin(10*time.Second, 3*time.Second, 8*time.Second)
+	s.Defer("a")
+	if got := s.Settled(15*time.Second, 11*time.Second); got != nil {
+		t.Errorf("%v returned to a replica of before the store had settled", got)
+	}
+	if got := s.Proven(15*time.Second, 11*time.Second); got != 8*time.Second {
+		t.Errorf("the list of targets was complete at %v, want 8s", got)
+	}
+	if got := s.Settled(16*time.Second, 15*time.Second); len(got) != 1 {
+		t.Errorf("deferred keys %v, want a", got)
 	}
 }
 
@@ -49,7 +67,7 @@
 	if got := s.Proven(14*time.Second, 13*time.Second); got != 8*time.Second {
 		t.Errorf("while settling: the list of targets was complete at %v, want 8s", got)
 	}
-	if got := s.Settled(15 * time.Second); len(got) != 1 {
+	if got := s.Settled(15*time.Second, 15*time.Second); len(got) != 1 {
 		t.Errorf("deferred keys %v, want a", got)
 	}
 }
