forward: a read error that lasts no longer occupies processors

What operators saw: nothing; the balancer would have spun on its data socket, with no line and no counter, while its heartbeats told peers and fabric that it is well.

Cause: the worker tried again at once after each read error.

Change: package readfail decides: a first error delays nothing, further ones in a row are 10 ms apart, and after 10 s the process ends with the error, so that it is started again. One log line for each series, counter data_read_errors.

--- a/internal/daemon/collector.go
+++ b/internal/daemon/collector.go
@@ -22,6 +22,7 @@
 	m.Counter("data_received", p.Received.Load)
 	m.Counter("data_sent", p.Sent.Load)
 	m.Counter("data_send_errors", p.SendErrors.Load)
+	m.Counter("data_read_errors", p.ReadErrors.Load)
 	m.Gauge("flows", func() float64 { return float64(r.Flows()) })
 	m.Counter("control_pauses", l.Count.Pauses.Load)
 	m.Counter("control_flows_handed_over", l.Count.HandedOver.Load)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,15 +25,16 @@
 const linkCloseTimeout = time.Second
 
 // Run runs a balancer until ctx ends, and then hands its flows over and stops. It returns
-// early if the admin endpoint fails.
+// early if the admin endpoint fails or packets cannot be read for readfail.Limit.
 func Run(ctx context.Context, set settings.Settings, log *logging.Logger) error {
 	r := router.New(set.Router())
 	plane, err := forward.New(forward.Config{
-		Listen:  set.Data.Listen,
-		Fabric:  set.Fabric.Address,
-		Sources: set.Fabric.Sources,
-		Workers: set.Data.Workers,
-		Decided: func(d *router.Decision) { logDecision(log.Logger, d) },
+		Listen:     set.Data.Listen,
+		Fabric:     set.Fabric.Address,
+		Sources:    set.Fabric.Sources,
+		Workers:    set.Data.Workers,
+		Decided:    func(d *router.Decision) { logDecision(log.Logger, d) },
+		ReadFailed: func(err error) { log.Warn("packets cannot be read", zap.Error(err)) },
 	}, r, time.Now())
 	if err != nil {
 		return err
@@ -64,6 +65,8 @@
 	select {
 	case err := <-serveErr:
 		return errors.Wrap(err, "daemon: admin endpoint")
+	case err := <-plane.Failed():
+		return errors.Wrap(err, "daemon: data path")
 	case <-ctx.Done():
 	}
 	loop.Leave(loopCtx)
--- a/internal/forward/plane.go
+++ b/internal/forward/plane.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rosedale.dev/rosedale/internal/geneve"
 	"rosedale.dev/rosedale/internal/router"
 )
@@ -29,6 +31,9 @@
 	// Decided is called for each decision on a flow, from several goroutines.
 	// It may be nil.
 	Decided func(*router.Decision)
+	// ReadFailed is called with the first of several read errors in a row, from several
+	// goroutines. It may be nil.
+	ReadFailed func(error)
 }
 
 // Plane owns the sockets of the data path and runs the traffic goroutines.
@@ -41,8 +46,9 @@
 	wg     sync.WaitGroup
 
 	// Counters of datagrams, exported as metrics.
-	Received, Sent, SendErrors atomic.Uint64
-	lastFabric                 atomic.Int64
+	Received, Sent, SendErrors, ReadErrors atomic.Uint64
+	lastFabric                             atomic.Int64
+	failed                                 chan error // see Failed
 
 	tickMu     sync.Mutex
 	tickWorker *worker // for Apply
@@ -53,7 +59,7 @@
 	if cfg.Workers <= 0 {
 		cfg.Workers = min(runtime.NumCPU(), 4)
 	}
-	p := &Plane{cfg: cfg, router: r, begin: begin}
+	p := &Plane{cfg: cfg, router: r, begin: begin, failed: make(chan error, 1)}
 	p.SetPeers(nil)
 	for range cfg.Workers {
 		c, err := listen(cfg.Listen)
@@ -110,6 +116,17 @@
 // time since begin.
 func (p *Plane) LastFabric() time.Duration { return time.Duration(p.lastFabric.Load()) }
 
+// Failed returns a channel with the error when reads of a socket have failed for
+// readfail.Limit. The socket is not read any more.
+func (p *Plane) Failed() <-chan error { return p.failed }
+
+func (p *Plane) fail(err error) {
+	select {
+	case p.failed <- errors.Wrap(err, "forward: read"):
+	default: // another socket has failed before
+	}
+}
+
 // Close closes the sockets and waits for the traffic goroutines.
 func (p *Plane) Close() {
 	for _, c := range p.socks {
--- a/internal/forward/worker.go
+++ b/internal/forward/worker.go
@@ -4,10 +4,12 @@
 	"errors"
 	"net"
 	"net/netip"
+	"time"
 
 	"golang.org/x/net/ipv4"
 
 	"rosedale.dev/rosedale/internal/geneve"
+	"rosedale.dev/rosedale/internal/readfail"
 	"rosedale.dev/rosedale/internal/router"
 )
 
@@ -20,6 +22,7 @@
 	headers [][]byte                        // Geneve headers of send
 	addrs   map[netip.AddrPort]*net.UDPAddr // reused, to send without allocating
 	out     router.Output
+	errors  readfail.Streak // of reads
 }
 
 // maxCachedAddrs is the maximum number of entries of worker.addrs.
@@ -41,8 +44,12 @@
 			return
 		}
 		if err != nil {
-			continue // ICMP error of an earlier send
+			if !w.readFailed(err) {
+				return
+			}
+			continue
 		}
+		w.errors.Succeeded()
 		w.out.Reset()
 		w.plane.Received.Add(uint64(n))
 		for i := range n {
@@ -53,6 +60,21 @@
 	}
 }
 
+// readFailed handles a read error. It returns false if the process is to end.
+func (w *worker) readFailed(err error) bool {
+	w.plane.ReadErrors.Add(1)
+	v := w.errors.Failed(w.plane.Now())
+	if v.First && w.plane.cfg.ReadFailed != nil {
+		w.plane.cfg.ReadFailed(err)
+	}
+	if v.GiveUp {
+		w.plane.fail(err)
+		return false
+	}
+	time.Sleep(v.Pause)
+	return true
+}
+
 func (w *worker) handle(m *ipv4.Message) {
 	b := m.Buffers[0][:m.N]
 	if w.plane.cfg.Relay.IsValid() {
