edge: a read error that lasts no longer occupies processors

Change: the same rule (readfail), one log line for each series and socket; after 10 s without a successful read the process ends, so that the routers use others.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -55,12 +55,13 @@
 	stopping atomic.Bool  // a planned stop has begun
 	proven   atomic.Int64 // when the replica was last known to be current, as time.Duration since start
 	counts   counts
+	failed   chan error // receives the error of a socket that cannot be read any more
 }
 
-// Run runs a balancer until ctx ends, and then stops it gracefully. without are the
-// feature switches that are off.
+// Run runs a balancer until ctx ends, and then stops it gracefully. It returns early if a
+// socket cannot be read for readfail.Limit. without are the feature switches that are off.
 func Run(ctx context.Context, boot platform.Boot, without direct.MechanismSet, log *logging.Logger) error {
-	e := &Edge{boot: boot, without: without, log: log, start: time.Now()}
+	e := &Edge{boot: boot, without: without, log: log, start: time.Now(), failed: make(chan error, 1)}
 	m := metrics.New()
 	e.times = newTimes(m)
 	e.forward = direct.New(direct.Config{
@@ -94,7 +95,11 @@
 	log.Info("started", zap.Stringer("data", boot.Data), zap.Stringer("store", boot.Store), zap.Int("seeds", len(boot.Seeds)), zap.Stringer("without", without))
 	go e.control.run(work)
 	go e.packets.run()
-	<-ctx.Done()
+	select {
+	case err := <-e.failed:
+		return err
+	case <-ctx.Done():
+	}
 	e.leave()
 	return nil
 }
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"rosedale.dev/rosedale/internal/direct"
+	"rosedale.dev/rosedale/internal/readfail"
 	"rosedale.dev/rosedale/platform"
 )
 
@@ -52,7 +53,7 @@
 // start starts the handling of packets.
 func (p *packets) start() { p.once.Do(func() { close(p.loaded) }) }
 
-// run forwards packets until the socket is closed.
+// run forwards packets until the socket is closed or cannot be read any more.
 //
 // Guards against dropping packets that a starting balancer receives before it knows any
 // target and could forward a moment later. Packets wait in the socket's buffer until
@@ -63,15 +64,19 @@
 	buf := make([]byte, platform.MaxDatagram+1)
 	body := buf[platform.PrefixSize:]
 	var seg direct.Segment
+	var failures readfail.Streak
 	for {
 		n, _, err := p.conn.ReadFromUDPAddrPort(body)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
-			p.edge.counts.readErrors.Add(1)
+			if !p.edge.readFailed(&failures, "packets", err) {
+				return
+			}
 			continue
 		}
+		failures.Succeeded()
 		p.handle(buf, n, &seg)
 	}
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -12,6 +12,7 @@
 
 	"rosedale.dev/rosedale/internal/direct"
 	"rosedale.dev/rosedale/internal/peer"
+	"rosedale.dev/rosedale/internal/readfail"
 	"rosedale.dev/rosedale/internal/replica"
 	"rosedale.dev/rosedale/platform"
 )
@@ -32,18 +33,22 @@
 	unprovenAge = time.Second
 )
 
-// receive reads heartbeats until the socket is closed. It runs on its own goroutine.
+// receive reads heartbeats until the socket is closed or cannot be read any more. It runs on its own goroutine.
 func (c *control) receive() {
 	buf := make([]byte, peer.MaxMessage+1)
+	var failures readfail.Streak
 	for {
 		n, waited, err := c.udp.read(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
-			c.edge.counts.readErrors.Add(1)
+			if !c.edge.readFailed(&failures, "heartbeats", err) {
+				return
+			}
 			continue
 		}
+		failures.Succeeded()
 		var h peer.Heartbeat
 		if err := peer.Decode(buf[:n], &h); err != nil {
 			c.edge.counts.invalidHeartbeats.Add(1)
