control: the status is ready when the fabric is told so

What operators saw: `rosedale status` said ready up to a second before the fabric's readiness probe did, so that a script that replaces balancers went on too early.

Cause: the status took every serving balancer for ready, without the time in which the others put it into their views.

Evidence: TestStatusIsReadyWhenTheFabricSeesIt failed before ("ready by the status: true, for the fabric: false").

Change: both use isReady.

--- a/internal/control/lifecycle.go
+++ b/internal/control/lifecycle.go
@@ -40,12 +40,14 @@
 // Ready reports whether the fabric may send packets to this balancer.
 func (l *Loop) Ready(ctx context.Context) bool {
 	ready := false
-	err := l.Do(ctx, func(now time.Duration) {
-		ready = l.group.Self().Status == wire.Alive && now-l.servingAt >= readinessDelay
-	})
+	err := l.Do(ctx, func(now time.Duration) { ready = l.isReady(now) })
 	return err == nil && ready
 }
 
+func (l *Loop) isReady(now time.Duration) bool {
+	return l.group.Self().Status == wire.Alive && now-l.servingAt >= readinessDelay
+}
+
 // Leave performs a planned stop: it announces the stop, hands over the flows that other
 // balancers may not know, and keeps forwarding until the fabric sends no more packets or
 // the maximum time of the settings has passed. As other balancers know the flows by then,
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"rosedale.dev/rosedale/internal/wire"
 )
 
 // Status is the state of a balancer for operators.
@@ -46,7 +44,7 @@
 			Name:       self.Name,
 			DataCenter: self.DataCenter,
 			State:      self.Status.String(),
-			Ready:      self.Status == wire.Alive,
+			Ready:      l.isReady(now),
 			Reader:     l.reader != nil,
 			Flows:      l.router.Flows(),
 		}
