control: a data centre whose balancers have all left is not cut off

What callers saw: packets of flows that nobody knows were dropped in silence instead of reset, so that callers waited for their own timeouts, while any data centre had no balancer because all had left on purpose, for up to two hours.

Cause: the loop that sets View.Partial went over the keys of a map whose value told whether a balancer is dead; a balancer that left set the key too.

Change: balancers that have left do not count. A data centre whose balancers never answered still makes the view partial, as before: it may be cut off since the start of this one. The doc comments say so.

--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -41,11 +41,12 @@
 }
 
 // addNodes adds the reachable balancers of the own group and the serving ones of other
-// groups to a view. The view is partial if a data centre of the own group has known
-// balancers, dead or not, and no reachable one.
+// groups to a view. The view is partial if a data centre of the own group may be cut off: it
+// has balancers that are dead or never answered, and no reachable one. Balancers that have
+// left on purpose do not count.
 func (l *Loop) addNodes(v *router.View) {
 	l.checkers = map[uint32]bool{}
-	hasReachable, hasDead := map[string]bool{}, map[string]bool{}
+	hasReachable, hasLost := map[string]bool{}, map[string]bool{}
 	v.Remotes = map[string][]router.Node{}
 	for _, r := range l.group.Members() {
 		l.logMember(r)
@@ -55,7 +56,7 @@
 		}
 		self := r.Name == l.config.Name
 		if !self && !member.Reachable(r) {
-			hasDead[r.DataCenter] = hasDead[r.DataCenter] || r.Incarnation > 0 && r.Status == wire.Dead
+			hasLost[r.DataCenter] = hasLost[r.DataCenter] || r.Status != wire.Left
 			continue
 		}
 		hasReachable[r.DataCenter] = true
@@ -71,8 +72,8 @@
 			Serving:    member.Serving(r),
 		})
 	}
-	for dc := range hasDead {
-		v.Partial = v.Partial || !hasReachable[dc]
+	for dc, lost := range hasLost {
+		v.Partial = v.Partial || lost && !hasReachable[dc]
 	}
 }
 
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -23,7 +23,7 @@
 type View struct {
 	Self    int // index in Nodes
 	Nodes   []Node
-	Partial bool // at least one data centre has known balancers but no reachable one
+	Partial bool // at least one data centre may be cut off: none of its balancers that have not left is reachable
 	// Remotes are the serving balancers of other groups, by data centre.
 	Remotes   map[string][]Node
 	Addresses map[netip.AddrPort]Address
