member: messages that waited during a pause catch nobody up

A balancer that was paused for seconds may have been replaced as home of flows; until it knows, it must not decide on any, or two homes open the same flow.

Cause: after a pause any message of a peer ended that wait, also one that had waited in the socket and was sent before the peers declared this balancer dead.

Evidence: TestWaitingMessagesCatchNobodyUp failed before ("caught up by a waiting ping", "caught up by a waiting ack").

Change: only the answer to a ping that was sent after the pause counts, by its sequence number; the limit of four times the ack timeout stays. The first ping goes out with the next tick, as before.

--- a/internal/member/group.go
+++ b/internal/member/group.go
@@ -94,8 +94,8 @@
 	longLinksChosenAt time.Duration
 	nextPing          time.Duration           // when the next ping is due
 	nextRejoin        time.Duration           // when the next ping of a dead member is due
-	lastReceived      time.Duration           // when the last message arrived
 	resumedAt         time.Duration           // when a pause was noticed; zero once caught up
+	resumedSeq        uint32                  // sequence number of the last ping before resumedAt
 	urgent            bool                    // a change has to be sent before the next heartbeat
 	pendingRelays     map[uint32]relayRequest // by the sequence number of our ping
 	changed           bool                    // see Changed
--- a/internal/member/group_test.go
+++ b/internal/member/group_test.go
@@ -131,6 +131,31 @@
 	w.expectStatus(t, "vm-003", wire.Alive)
 }
 
+// A VM is paused while heartbeats and answers wait in its socket. They say what its peers knew
+// before the pause or during it, so that they must not let it decide on flows; an answer to a
+// heartbeat that it sends after the pause does.
+func TestWaitingMessagesCatchNobodyUp(t *testing.T) {
+	w := newNetwork(2)
+	w.run(10 * time.Second)
+	g, peer := w.groups["vm-000"], w.groups["vm-001"]
+	sent := g.ping(w.now, "vm-001")[0].Msg
+	waiting := []*wire.Message{peer.ping(w.now, "vm-000")[0].Msg, peer.Receive(w.now, sent)[0].Msg}
+	w.now += 5 * time.Second
+	g.Resume(w.now)
+	w.now += time.Millisecond
+	for _, m := range waiting {
+		g.Receive(w.now, m)
+		if g.CaughtUp(w.now) {
+			t.Errorf("caught up by a waiting %v", m.Kind)
+		}
+	}
+	answer := peer.Receive(w.now, g.ping(w.now, "vm-001")[0].Msg)[0].Msg
+	g.Receive(w.now, answer)
+	if !g.CaughtUp(w.now) {
+		t.Error("not caught up by an answer to a heartbeat after the pause")
+	}
+}
+
 // Every fifth message is lost for a minute. No member may stay marked dead: false
 // suspicions are refuted.
 func TestMessageLossMarksNoMemberDead(t *testing.T) {
--- a/internal/member/receive.go
+++ b/internal/member/receive.go
@@ -8,7 +8,6 @@
 
 // Receive handles a message of an authenticated member and returns the answers.
 func (g *Group) Receive(now time.Duration, m *wire.Message) []Send {
-	g.lastReceived = now
 	g.clearProbe(m.From)
 	for _, r := range m.Updates {
 		g.Merge(now, r)
@@ -28,6 +27,9 @@
 	case wire.PingReq:
 		return g.relayPing(now, m)
 	case wire.Ack:
+		if m.Seq > g.resumedSeq {
+			g.resumedAt = 0
+		}
 		if r, ok := g.pendingRelays[m.Seq]; ok {
 			delete(g.pendingRelays, m.Seq)
 			ack := g.message(wire.Ack, r.seq)
--- a/internal/member/tick.go
+++ b/internal/member/tick.go
@@ -32,6 +32,7 @@
 // list during the pause.
 func (g *Group) Resume(now time.Duration) {
 	g.resumedAt = now
+	g.resumedSeq = g.seq
 	for _, m := range g.members {
 		m.probe = probeState{}
 	}
@@ -39,13 +40,14 @@
 }
 
 // CaughtUp reports whether this member may decide on flows as their home. After a
-// pause it may not until a message of a peer has arrived or all peers have had time to
-// answer, which is four times the AckTimeout.
+// pause it may not until a peer has answered a ping sent after it or all peers have had
+// time to answer, which is four times the AckTimeout. Other messages may have waited in
+// the socket and say what peers knew before or during the pause.
 func (g *Group) CaughtUp(now time.Duration) bool {
 	if g.resumedAt == 0 {
 		return true
 	}
-	if g.lastReceived > g.resumedAt || now-g.resumedAt > 4*g.settings.AckTimeout {
+	if now-g.resumedAt > 4*g.settings.AckTimeout {
 		g.resumedAt = 0
 		return true
 	}
