slowstart: an opening without a limit's rate blocks no later one

Openings at a cold target could be refused for as long as it warms up, up to an hour by this rule, by a balancer that had opened a flow there before it owned the target.

Cause: the pause after an opening is the inverse of the rate, which is 0 for a balancer that does not own the target, cut off at an hour; a later limit takes over the pause in progress.

Evidence: TestOpeningWithoutOwnershipBlocksNothing failed before ("the next opening is allowed at 1h0m1s").

Change: an opening that no limit applied to starts no pause.

--- a/internal/slowstart/limit.go
+++ b/internal/slowstart/limit.go
@@ -17,8 +17,12 @@
 // Allows reports whether an opening is allowed now.
 func (l *Limit) Allows(now time.Duration) bool { return l.rate > 0 && now >= l.next }
 
-// Take records an opening.
+// Take records an opening. An opening without a rate is one that no limit applied to, as when
+// no other target was left, and delays no later one.
 func (l *Limit) Take(now time.Duration) {
+	if l.rate == 0 {
+		return
+	}
 	l.next = now + time.Duration(min(float64(time.Second)/l.rate, float64(maxPause)))
 }
 
--- a/internal/slowstart/slowstart_test.go
+++ b/internal/slowstart/slowstart_test.go
@@ -213,3 +213,15 @@
 		}
 	}
 }
+
+// A balancer that does not own a cold target opens a flow there, as when no other target is
+// left, and owns it later, as when another balancer stops. That opening must not keep it from
+// using the target while it warms up.
+func TestOpeningWithoutOwnershipBlocksNothing(t *testing.T) {
+	var l Limit
+	l.Take(time.Second)
+	l = NewOwners(name(0), nil).Limit(1, 10).After(l)
+	if !l.Allows(time.Second) {
+		t.Errorf("the next opening is allowed at %v", l.next)
+	}
+}
