Soak: logs of a failed seed are kept, and readiness is polled as routers do

What developers saw: a failed seed's message named a folder of logs that the test framework had deleted. And a balancer that had never answered counted as ready after its first failed poll, so that callers sent to it; the platform's routers need a success first.

One failed poll changes nothing; the first success makes ready, two failures unready.

The stricter callers' view loosens no check.

--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -88,8 +88,15 @@
 func newWorld(t *testing.T, block int) *world {
 	t.Helper()
 	w := &world{t: t, block: block, faultCounts: map[string]int{}}
-	w.dir = t.ArtifactDir()
 	var err error
+	if w.dir, err = os.MkdirTemp("", "rosedale-soak-"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if !t.Failed() {
+			_ = os.RemoveAll(w.dir) // the logs of a failed run are kept
+		}
+	})
 	if w.store, err = direct.NewStore(); err != nil {
 		t.Fatal(err)
 	}
@@ -194,8 +201,8 @@
 	}
 }
 
-// pollReadiness polls a balancer's readiness as the platform's routers do: it is
-// not ready after two failures in a row, and ready otherwise.
+// pollReadiness polls a balancer's readiness as the platform's routers do: it is ready
+// after a success and not ready after two failures in a row. One failure changes nothing.
 func (w *world) pollReadiness(n *node) {
 	client := http.Client{Timeout: 400 * time.Millisecond}
 	for misses := 0; !w.stopping.Load(); time.Sleep(200 * time.Millisecond) {
@@ -208,7 +215,12 @@
 		} else {
 			misses = 0
 		}
-		n.ready.Store(misses < 2 && (misses > 0 || err == nil))
+		switch {
+		case misses == 0:
+			n.ready.Store(true)
+		case misses >= 2:
+			n.ready.Store(false)
+		}
 	}
 }
 
