balance: an operator's question changes no later choice

What operators saw: nothing; `rosedale explain` on a balancer changed by which average load its next flow was placed.

Cause: Explain made its choice with the function that also stores the average load.

Change: Explain restores the average.

--- a/internal/balance/explain.go
+++ b/internal/balance/explain.go
@@ -23,9 +23,11 @@
 	Note     string  // why Choose may skip the target, or empty
 }
 
-// Explain makes the same choice as Choose, but adds no slow-start credit. Key is
-// the flow's hash.
+// Explain makes the same choice as Choose, but adds no slow-start credit and keeps the
+// average load by which the next choice is made. Key is the flow's hash.
 func (p *Pool) Explain(now time.Duration, u Unit, key uint64) Explanation {
+	avg := p.avg
+	defer func() { p.avg = avg }()
 	var x Explanation
 	total, n := 0.0, 0
 	for i, id := range p.Order(key) {
@@ -45,8 +47,7 @@
 		return x
 	}
 	x.Choice = id
-	avg := total / float64(max(n, 1))
-	x.Why = fmt.Sprintf("policy %s, average load %.1f, slack %.2f", p.Policy, avg, p.Slack)
+	x.Why = fmt.Sprintf("policy %s, average load %.1f, slack %.2f", p.Policy, total/float64(max(n, 1)), p.Slack)
 	return x
 }
 
