direct: an operator's question changes nothing and names the next decision

What operators saw: `rosedale edge explain` named a target or reason that was not the one of the next opening, "no target" where callers were refused because all targets had just started or their data centre was evacuated. And each question moved the choices of later openings.

Cause: the explanation drew random numbers of the forwarder, which openings then lacked, and had its own answer for a failed choice.

Evidence: TestExplainNamesTheNextDecision failed before (`explained as "opened_near 4", opened at 2, without the question "opened_near 4"`) and TestExplainNamesTheColdLimit ("explained as reset_no_target, refused as reset_cold").

Change: the state of the random numbers is put back after a question, so that the next opening draws the same ones; refusals are named by the function that decides them; a question adds no service. The cold limits that a question brings up to date are the same that the next opening would.

--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -26,10 +26,11 @@
 
 // Forwarder decides what to do with packets. It is not safe for concurrent use.
 type Forwarder struct {
-	dataCenter string
-	flowMaxAge time.Duration
-	maxFlows   int
-	rng        *rand.Rand
+	dataCenter  string
+	flowMaxAge  time.Duration
+	maxFlows    int
+	randomState *rand.PCG // of rng
+	rng         *rand.Rand
 
 	catalogue      *Catalogue // nil until the first version arrives
 	targets        map[TargetID]*target
@@ -68,11 +69,13 @@
 	if c.Times == nil {
 		c.Times = noTimes{}
 	}
+	random := rand.NewPCG(c.Seed, 1)
 	return &Forwarder{
 		dataCenter:           c.DataCenter,
 		flowMaxAge:           c.FlowMaxAge,
 		maxFlows:             c.MaxFlows,
-		rng:                  rand.New(rand.NewPCG(c.Seed, 1)),
+		randomState:          random,
+		rng:                  rand.New(random),
 		targets:              map[TargetID]*target{},
 		cookies:              map[Cookie]*target{},
 		services:             map[string]*service{},
--- a/internal/direct/inspect.go
+++ b/internal/direct/inspect.go
@@ -88,7 +88,8 @@
 	Choices []TargetInfo `json:"choices"` // all targets of the route's services
 }
 
-// Explain explains how a flow would be handled. It does not change the flow or any target.
+// Explain explains how a flow would be handled now. It changes no decision: an opening gets the
+// target that it names, unless something else happens before.
 func (f *Forwarder) Explain(now time.Duration, k FlowKey) Explanation {
 	var x Explanation
 	if f.catalogue == nil {
@@ -103,7 +104,9 @@
 	}
 	x.Route = r.Name
 	for _, b := range r.Backends {
-		f.service(b.Service).each(func(t *target) { x.Choices = append(x.Choices, f.info(now, t)) })
+		if s := f.services[b.Service]; s != nil {
+			s.each(func(t *target) { x.Choices = append(x.Choices, f.info(now, t)) })
+		}
 	}
 	if fl := f.flows[k]; fl != nil {
 		x.Known = true
@@ -119,14 +122,18 @@
 	return x
 }
 
+// explainOpening returns the decision on an opening packet. The random numbers that it draws
+// are drawn again by the next opening.
 func (f *Forwarder) explainOpening(now time.Duration, r Route, k FlowKey) string {
+	before := *f.randomState
+	defer func() { *f.randomState = before }()
 	svc := f.drawBackend(&r, &Segment{Caller: k.Caller, Address: k.Address})
 	if svc == nil {
 		return ResetNoTarget.String()
 	}
 	c, reason := f.place(now, svc, [2]TargetID{})
 	if c.target == nil {
-		return ResetNoTarget.String()
+		return f.refusalReason(now, svc).String()
 	}
 	return reason.String() + " " + c.target.ID.String()
 }
