--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -33,7 +33,8 @@
 	unprovenAge = time.Second
 )
 
-// receive reads heartbeats until the socket is closed or cannot be read any more. It runs on its own goroutine.
+// receive reads heartbeats until the socket is closed or cannot be read any more. It runs on
+// its own goroutine.
 func (c *control) receive() {
 	buf := make([]byte, peer.MaxMessage+1)
 	var failures readfail.Streak
