link: a message that arrives with a change of connection is sent on the new one

What callers saw: not seen in a deployment; one message to a replaced balancer could be lost, a handover for instance.

Cause: the sender of the earlier connection waits for its end and for messages. If both come before it runs, select takes either, so that a message queued after the change went to the connection of the earlier process.

TestMessageStaysForTheNextConnection fails without the check ("the message was taken for the earlier connection").

Change: a sender that finds its connection's turn over puts the message back.

Twin: no other select in both daemons both ends and takes from a queue that another goroutine takes over.

--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -31,6 +31,21 @@
 	}
 }
 
+// next waits for a message to send, and returns false if ctx ends first. A message that
+// arrives when ctx has already ended stays in the queue: it is for another connection.
+func (p *peer) next(ctx context.Context) ([]byte, bool) {
+	select {
+	case <-ctx.Done():
+		return nil, false
+	case b := <-p.out:
+		if ctx.Err() != nil {
+			p.push(b)
+			return nil, false
+		}
+		return b, true
+	}
+}
+
 // unused reports whether there is no connection and none is being opened.
 func (p *peer) unused() bool { return len(p.conns) == 0 && !p.dialing }
 
--- a/internal/link/replaced_test.go
+++ b/internal/link/replaced_test.go
@@ -154,3 +154,17 @@
 		t.Errorf("%d connections were opened, want at most 2", d)
 	}
 }
+
+// Messages to a peer move to another connection while one arrives. The sender of the earlier
+// connection may wake up to both, and must leave the message to the other one.
+func TestMessageStaysForTheNextConnection(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 100 {
+		p := newPeer()
+		p.push([]byte("ping"))
+		if _, ok := p.next(ctx); ok || len(p.out) != 1 {
+			t.Fatal("the message was taken for the earlier connection")
+		}
+	}
+}
--- a/internal/link/serve.go
+++ b/internal/link/serve.go
@@ -53,14 +53,13 @@
 // writeMessages sends a peer's messages on a connection in their order until ctx ends.
 // Sending a datagram can block, which delays only this connection.
 func (l *Link) writeMessages(ctx context.Context, c *connection, p *peer) {
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
+	for {
+		b, ok := p.next(ctx)
+		if !ok {
 			return
-		case b := <-p.out:
-			if err := c.write(b); err != nil {
-				l.Count.SendErrors.Add(1)
-			}
+		}
+		if err := c.write(b); err != nil {
+			l.Count.SendErrors.Add(1)
 		}
 	}
 }
