router: a handover replaces a hint, so that the slot is released

What callers saw: after balancers were replaced, requests waited and were refused (refuse_too_late) while slots of their targets were free.

Cause: a record that was stored for a bare acknowledgement (a hint) was taken for a record of the flow at a handover: it was counted and stayed a hint. The next answer found only a hint and stored a new record over it, and the count was never released, not even when the flow counts as idle.

TestHandoverReplacesAHint failed before: "1 slots are in use, want 0".

Why this works: a hint is no record of a flow, in a handover as elsewhere (isMarker), so that the record of the handover replaces it, and the flow's end releases the count.

Twin: the places that store a new record were read.

--- /dev/null
+++ b/internal/router/ended_test.go
@@ -0,0 +1,72 @@
+package router
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gvisor.dev/gvisor/pkg/tcpip/header"
+
+	"rosedale.dev/rosedale/internal/flow"
+	"rosedale.dev/rosedale/internal/packet"
+)
+
+// slotHome returns the node that decides on the requests of testService in a view in which all
+// nodes serve.
+func slotHome(v *View) int {
+	a := v.Addresses[slotAddress]
+	return v.home(a.homeKey(0), false)
+}
+
+// homeLeaves returns two views of node self among two, before and after the home of slotAddress
+// stopped serving, and the address of the other node.
+func homeLeaves(self int) (before, after *View, peer netip.Addr) {
+	before, after = testView(self, 2, 1), testView(self, 2, 1)
+	after.Nodes[slotHome(after)].Serving = false
+	return before, after, before.Nodes[1-self].Data.Addr()
+}
+
+// successor returns a router of the node that is home of slotAddress after its home has left, in
+// the view before.
+func successor() (r *Router, after *View, peer netip.Addr) {
+	self := 1 - slotHome(testView(0, 2, 1))
+	before, after, peer := homeLeaves(self)
+	r = New(Settings{AliveInterval: time.Hour})
+	r.SetView(0, before)
+	return r, after, peer
+}
+
+// openRequest is a handover of a request that its target is working on.
+func openRequest(target netip.Addr) []Moved {
+	return []Moved{{Caller: testCaller, Address: slotAddress, Target: target, Seq: 1005, State: flow.Open}}
+}
+
+func answerWith(f header.TCPFlags) []byte {
+	return packet.Build(slotAddress, testCaller, 5001, 1005, header.TCPFlagAck|f, []byte("done"))
+}
+
+func wantSlots(t *testing.T, r *Router, want int) {
+	t.Helper()
+	got := 0
+	for _, u := range r.Usage() {
+		got += u.Slots
+	}
+	if got != want {
+		t.Errorf("%d slots are in use, want %d", got, want)
+	}
+}
+
+// A balancer has seen only a bare acknowledgement of a request when the request is handed over to
+// it. The request's end must free the slot, or it stays in use for as long as the process runs.
+func TestHandoverReplacesAHint(t *testing.T) {
+	r, after, _ := successor()
+	out := &Output{}
+	target := after.Targets[1].Addr
+	fromTarget(r, time.Second, target, packet.Build(slotAddress, testCaller, 5001, 1005, header.TCPFlagAck, nil), out)
+	r.SetView(time.Second, after)
+	r.Take(time.Second, openRequest(target), out)
+	wantSlots(t, r, 1)
+	fromTarget(r, time.Second, target, answerWith(header.TCPFlagFin), out)
+	only(t, out, ToCaller)
+	wantSlots(t, r, 0)
+}
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -142,7 +142,7 @@
 	r.Increment(FlowHandedOver)
 	k := flow.NewKey(m.Caller, a.ID)
 	e, known := r.load(k, k.Hash())
-	known = known && e.State != flow.Handed
+	known = known && !isMarker(e.State)
 	if m.Opening != nil {
 		r.takeOpening(now, v, m, a, id, e, known, out)
 		return
