router: an end that passes a balancer frees the slot that it counts

Cause: while views differ there are two homes. Until its own view changes, the new home passes ends of flows to the former one, also of flows that it counts itself, since it has opened them for a balancer that takes it for the home or got them by the handover. The former home handles the end; the new home counts the slot until the flow counts as idle (60 s), and hands it over at the next change.

TestEndThatPassesFreesTheSlot and TestHandoverAfterTheEndCountsNothing failed before ("1 slots are in use, want 0").

Why this works: between two homes, one passes the end to the other, so that both see it. The one that passes it on now ends its own record. A handover that is overtaken by the end finds the record of the end and counts nothing.

Counter flow_ended_elsewhere.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -19,6 +19,7 @@
 		return
 	}
 	c.learn(id)
+	c.endPassing(id)
 	c.r.Increment(HomeForwarded)
 	hop := geneve.Hop{Kind: geneve.Answer, Count: c.hop.Count + 1, Flags: c.hop.Flags & geneve.FlagRecorded, Target: c.v.Targets[id].Addr}
 	if c.seg.IsReset() && c.recordedAt(id) {
--- /dev/null
+++ b/internal/router/ended.go
@@ -0,0 +1,27 @@
+package router
+
+import "rosedale.dev/rosedale/internal/flow"
+
+// While views differ, a flow may be counted at one balancer and end at another: its home in the
+// view of those that forwarded the end. The functions in this file release the count, which would
+// otherwise keep a slot in use until the flow counts as idle.
+
+// endPassing ends the record of a flow whose end passes this balancer on its way to the home. The
+// flow is counted here if this balancer has decided on it, or got it by a handover before its own
+// view changed. If another balancer takes this one for the home, a handover of the flow may still
+// arrive, and the record of the end keeps it from being counted.
+func (c *call) endPassing(id uint32) {
+	if !c.seg.IsFin() && (!c.seg.IsReset() || c.refusesOpening()) {
+		return
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	e, ok := c.load()
+	switch {
+	case ok && e.Target == id && isLive(e.State) && e.Flags&flow.Counted != 0:
+		c.report(FlowEndedElsewhere, &e)
+		c.endFlow(&e)
+	case c.hasHop && c.seg.IsFin() && (!ok || isMarker(e.State)):
+		c.r.store(flow.Entry{Key: c.key, Target: id, Seq: c.seg.Ack, LastPacket: tick(c.now), State: flow.Closing})
+	}
+}
--- a/internal/router/ended_test.go
+++ b/internal/router/ended_test.go
@@ -8,6 +8,7 @@
 	"gvisor.dev/gvisor/pkg/tcpip/header"
 
 	"rosedale.dev/rosedale/internal/flow"
+	"rosedale.dev/rosedale/internal/geneve"
 	"rosedale.dev/rosedale/internal/packet"
 )
 
@@ -70,3 +71,35 @@
 	only(t, out, ToCaller)
 	wantSlots(t, r, 0)
 }
+
+// A request is handed over to a balancer whose own view has not changed, so that it passes the
+// request's end to the former home. It must free the slot all the same, or it counts it as in use
+// once its view has changed.
+func TestEndThatPassesFreesTheSlot(t *testing.T) {
+	for _, flags := range []header.TCPFlags{header.TCPFlagFin, header.TCPFlagRst} {
+		r, after, _ := successor()
+		out := &Output{}
+		target := after.Targets[1].Addr
+		r.Take(time.Second, openRequest(target), out)
+		wantSlots(t, r, 1)
+		fromTarget(r, time.Second, target, answerWith(flags), out)
+		only(t, out, ToPeer)
+		wantSlots(t, r, 0)
+		r.SetView(time.Second, after)
+		wantSlots(t, r, 0)
+	}
+}
+
+// The end of a request passes its new home, whose view has not changed, before the handover of the
+// request arrives there. The handover must not count the request.
+func TestHandoverAfterTheEndCountsNothing(t *testing.T) {
+	r, after, peer := successor()
+	out := &Output{}
+	target := after.Targets[1].Addr
+	hop := geneve.Hop{Kind: geneve.Answer, Count: 1, Target: target}
+	passed(r, time.Second, peer, hop, answerWith(header.TCPFlagFin), out)
+	only(t, out, ToPeer)
+	r.Take(time.Second, openRequest(target), out)
+	r.SetView(time.Second, after)
+	wantSlots(t, r, 0)
+}
--- a/internal/router/reason.go
+++ b/internal/router/reason.go
@@ -69,6 +69,7 @@
 	FlowCrossed                       // record deleted, as the caller is connected to another target
 	FlowExpired                       // idle entry deleted
 	FlowEnded                         // ended by a FIN or reset
+	FlowEndedElsewhere                // counted here, ended at another balancer
 	FlowHandedOver                    // received from the previous home
 	FlowSpilled                       // passed to another group
 	HomeForwarded                     // packet passed to the home
@@ -92,7 +93,7 @@
 	"opening_queued", "opening_resent", "opening_forgotten", "reset_silent", "reset_unknown", "reset_abandoned",
 	"reset_left", "reset_by_target", "reset_by_caller",
 	"flow_opened", "flow_adopted", "flow_learned", "flow_corrected", "flow_crossed",
-	"flow_expired", "flow_ended", "flow_handed_over", "flow_spilled", "home_forwarded", "ask_forwarded",
+	"flow_expired", "flow_ended", "flow_ended_elsewhere", "flow_handed_over", "flow_spilled", "home_forwarded", "ask_forwarded",
 	"ask_silent", "silent_repeated", "silence_objected",
 }
 
