router: a flow is counted only at its home, once views agree

Cause: while views differ, a balancer decides on an opening that another one is home of, and counts it. The home counts the flow too, and ends it. The first balancer keeps its count until the flow counts as idle, and takes it into its time as home, or hands it over to the next.

TestRequestOfAnotherHomeIsNotCounted failed before.

If this balancer becomes home before the flow ends, the flow is counted again with its next packet, as after any change. The same holds for streams, which were counted at both.

--- a/internal/router/ended.go
+++ b/internal/router/ended.go
@@ -25,3 +25,16 @@
 		c.r.store(flow.Entry{Key: c.key, Target: id, Seq: c.seg.Ack, LastPacket: tick(c.now), State: flow.Closing})
 	}
 }
+
+// releaseElsewhere releases an entry that is counted here although another balancer is the home of
+// its flow, unless its opening is pending. The home counts the flow and learns of its end.
+func (r *Router) releaseElsewhere(e *flow.Entry) {
+	if e.Flags&flow.Counted == 0 || r.openings[e.Key] != nil {
+		return
+	}
+	v := r.view.Load()
+	a, ok := v.addressByID(e.Key.Address)
+	if ok && v.home(a.homeKey(hashFlow(e.Key.CallerAddr(), a.addr)), false) != v.Self {
+		r.release(e, a.Service, a.Unit())
+	}
+}
--- a/internal/router/ended_test.go
+++ b/internal/router/ended_test.go
@@ -103,3 +103,24 @@
 	r.SetView(time.Second, after)
 	wantSlots(t, r, 0)
 }
+
+// Views differ, and a balancer opens a request that another one is home of, which counts the
+// request and ends it. This one must not count it for longer than a sweep of the table, or it does
+// when it becomes home.
+func TestRequestOfAnotherHomeIsNotCounted(t *testing.T) {
+	r, after, peer := successor()
+	out := &Output{}
+	opening := geneve.Hop{Kind: geneve.Opening, Count: openingHops}
+	passed(r, time.Second, peer, opening, syn(testCaller, slotAddress, 1000), out)
+	target := only(t, out, ToTarget).Target
+	accept := geneve.Hop{Kind: geneve.Answer, Count: openingHops, Target: target}
+	passed(r, time.Second, peer, accept, synAck(testCaller, slotAddress), out)
+	only(t, out, ToCaller)
+	wantSlots(t, r, 1)
+	for at := time.Second; at <= time.Second+2*sweepEvery; at += sweepEvery / 4 {
+		r.Tick(at, out)
+	}
+	wantSlots(t, r, 0)
+	r.SetView(2*sweepEvery, after)
+	wantSlots(t, r, 0)
+}
--- a/internal/router/tick.go
+++ b/internal/router/tick.go
@@ -150,8 +150,10 @@
 	}
 }
 
-// keep reports whether an entry stays. It releases an entry that does not.
+// keep reports whether an entry stays. It releases an entry that does not, and one whose flow
+// another balancer is home of.
 func (r *Router) keep(now time.Duration, e *flow.Entry) bool {
+	r.releaseElsewhere(e)
 	if now-time.Duration(e.LastPacket)*flow.TickLength <= r.idle(e) {
 		return true
 	}
