router, control: the former home hands over flows that ended there

The slots that stayed in use here are those of flows that the new home counted before the others' views had changed.

Cause: the new home is the first to know that it is home. It opens or adopts flows, while their ends reach the former home, in whose view, and in that of the balancers that forward the ends, nothing has changed. It handles them and passes nothing on. The new home counts the slots until the flows count as idle.

Evidence: a run that logs each slot taken and released: 198.51.100.24:26041 is taken at vault-a-2 at 17:07:35.686621 by an answer, and its end handled at scan-hall-1, home in its own view until 35.75, at 35.686623; vault-a-2 never releases it. TestHandoverEndsFlows and TestHandoverEndsOpenings failed before ("1 slots are in use, want 0").

Why this works: when its view changes, the former home hands over what ended there in the last 2 s, longer than views usually differ, with the flows that are open. The new home releases what it counts, and ends openings that are pending for these flows, which would wait for a SYN-ACK of a connection that has ended. Numbers tell a later flow of the same ports from the one that ended (TestEndOfAnEarlierFlowEndsNothing, which passes before too). At most 8,192 flows; 1,000 are 31,012 bytes.

Upgrade: ended flows are a field of their own (Ended), which older balancers ignore. As State "closing" among the open ones they would have counted them for 10 s.

--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -61,7 +61,7 @@
 	case wire.Push:
 		l.accept(ctx, m.Versions, m.From)
 	case wire.Handover:
-		l.takeOver(m.Flows)
+		l.takeOver(m.Flows, m.Ended)
 	}
 	for _, h := range m.Health {
 		if l.health.Merge(now, h) {
@@ -168,16 +168,23 @@
 	return out
 }
 
-// takeOver passes flows that were handed over to this balancer, their new home, to the
-// router.
-func (l *Loop) takeOver(fs []wire.Flow) {
-	ms := make([]router.Moved, 0, len(fs))
+// takeOver passes flows that were handed over to this balancer, their new home, and flows that
+// ended at the former one, to the router.
+func (l *Loop) takeOver(fs, ended []wire.Flow) {
+	ms := make([]router.Moved, 0, len(fs)+len(ended))
 	for _, f := range fs {
-		ms = append(ms, router.Moved{
-			Caller: f.Caller, Address: f.Address, Target: f.Target, Seq: f.Seq,
-			State: flow.State(f.State), Wait: time.Duration(f.Wait) * time.Millisecond, Opening: f.Opening, Lost: f.Lost,
-		})
+		ms = append(ms, moved(f, flow.State(f.State)))
 	}
-	l.Count.TakenOver.Add(uint64(len(ms)))
+	for _, f := range ended {
+		ms = append(ms, moved(f, flow.Closing))
+	}
+	l.Count.TakenOver.Add(uint64(len(fs)))
 	l.plane.Apply(func(now time.Duration, out *router.Output) { l.router.Take(now, ms, out) })
 }
+
+func moved(f wire.Flow, state flow.State) router.Moved {
+	return router.Moved{
+		Caller: f.Caller, Address: f.Address, Target: f.Target, Seq: f.Seq,
+		State: state, Wait: time.Duration(f.Wait) * time.Millisecond, Opening: f.Opening, Lost: f.Lost,
+	}
+}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -11,6 +11,7 @@
 
 	"rosedale.dev/rosedale/internal/balance"
 	"rosedale.dev/rosedale/internal/catalogue"
+	"rosedale.dev/rosedale/internal/flow"
 	"rosedale.dev/rosedale/internal/member"
 	"rosedale.dev/rosedale/internal/rendezvous"
 	"rosedale.dev/rosedale/internal/router"
@@ -228,24 +229,38 @@
 	}
 }
 
-// handoverMessages returns the messages that hand flows over to their new homes.
+// handoverMessages returns the messages that hand flows over to their new homes. Ended flows have a
+// field of their own, since balancers without it would count them as open.
 func (l *Loop) handoverMessages(v *router.View, ms []router.Moved) []outgoing {
-	byHome := map[string][]wire.Flow{}
+	byHome := map[string]*wire.Message{}
 	for _, m := range ms {
 		name := v.Nodes[m.Home].Name
-		byHome[name] = append(byHome[name], wire.Flow{
-			Caller: m.Caller, Address: m.Address, Target: m.Target, Seq: m.Seq,
-			State: uint8(m.State), Wait: uint32(m.Wait.Milliseconds()), Opening: m.Opening, Lost: m.Lost,
-		})
+		if byHome[name] == nil {
+			byHome[name] = &wire.Message{Kind: wire.Handover, From: l.config.Name}
+		}
+		l.addMoved(byHome[name], m)
 	}
-	l.Count.HandedOver.Add(uint64(len(ms)))
 	var out []outgoing
 	for _, name := range slices.Sorted(maps.Keys(byHome)) {
-		out = append(out, outgoing{name, &wire.Message{Kind: wire.Handover, From: l.config.Name, Flows: byHome[name]}})
+		out = append(out, outgoing{name, byHome[name]})
 	}
 	return out
 }
 
+// addMoved adds a flow to the handover to its new home.
+func (l *Loop) addMoved(to *wire.Message, m router.Moved) {
+	f := wire.Flow{
+		Caller: m.Caller, Address: m.Address, Target: m.Target, Seq: m.Seq,
+		State: uint8(m.State), Wait: uint32(m.Wait.Milliseconds()), Opening: m.Opening, Lost: m.Lost,
+	}
+	if m.State == flow.Closing {
+		to.Ended = append(to.Ended, f)
+		return
+	}
+	l.Count.HandedOver.Add(1)
+	to.Flows = append(to.Flows, f)
+}
+
 // outgoing is a message with the name of the member to send it to.
 type outgoing struct {
 	to  string
--- a/internal/router/apply.go
+++ b/internal/router/apply.go
@@ -17,7 +17,7 @@
 	if old != nil && sameHomes(old, v) {
 		return nil
 	}
-	return r.recount(now, v)
+	return r.recount(now, old, v)
 }
 
 // install updates the pools and publishes v. It returns the previous view.
--- a/internal/router/ended_test.go
+++ b/internal/router/ended_test.go
@@ -124,3 +124,53 @@
 	r.SetView(2*sweepEvery, after)
 	wantSlots(t, r, 0)
 }
+
+// rejoined returns routers of a home that joins again and of its successor, whose view has not
+// changed yet, and the successor's next view.
+func rejoined() (home, former *Router, after *View) {
+	self := slotHome(testView(0, 2, 1))
+	home = New(Settings{AliveInterval: time.Hour})
+	home.SetView(0, testView(self, 2, 1))
+	_, before, _ := homeLeaves(1 - self)
+	former = New(Settings{AliveInterval: time.Hour})
+	former.SetView(0, before)
+	return home, former, testView(1-self, 2, 1)
+}
+
+// A home joins and counts a request that is open, and the request ends at the former home, whose
+// view has not changed yet. The handover must free the slot, or the new home counts it as in use
+// until the flow counts as idle.
+func TestHandoverEndsFlows(t *testing.T) {
+	home, former, after := rejoined()
+	out := &Output{}
+	target := after.Targets[1].Addr
+	fromTarget(home, time.Second, target, answerWith(0), out)
+	wantSlots(t, home, 1)
+	fromTarget(former, time.Second, target, answerWith(header.TCPFlagFin), out)
+	home.Take(time.Second, former.SetView(time.Second, after), out)
+	wantSlots(t, home, 0)
+}
+
+// As before, but the new home has just received a further copy of the opening packet. It must not
+// wait for a SYN-ACK of a connection that has ended.
+func TestHandoverEndsOpenings(t *testing.T) {
+	home, former, after := rejoined()
+	out := &Output{}
+	fromTarget(former, time.Second, after.Targets[1].Addr, answerWith(header.TCPFlagFin), out)
+	fromCaller(home, time.Second, syn(testCaller, slotAddress, 1000), out)
+	wantSlots(t, home, 1)
+	home.Take(time.Second, former.SetView(time.Second, after), out)
+	wantSlots(t, home, 0)
+}
+
+// A caller uses its port again at once. The end of its earlier flow, which the former home hands
+// over, must not end the later one.
+func TestEndOfAnEarlierFlowEndsNothing(t *testing.T) {
+	home, former, after := rejoined()
+	out := &Output{}
+	fromTarget(former, time.Second, after.Targets[1].Addr, answerWith(header.TCPFlagFin), out)
+	const later = 1 << 30 // initial sequence number of the later flow
+	fromCaller(home, time.Second, syn(testCaller, slotAddress, later), out)
+	home.Take(time.Second, former.SetView(time.Second, after), out)
+	wantSlots(t, home, 1)
+}
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -16,8 +16,8 @@
 	Caller  netip.AddrPort
 	Address netip.AddrPort
 	Target  netip.Addr
-	Seq     uint32 // as in flow.Entry
-	State   flow.State
+	Seq     uint32        // as in flow.Entry
+	State   flow.State    // flow.Closing if the flow has ended
 	Wait    time.Duration // time left until the admission deadline
 	Opening []byte
 	Lost    []netip.Addr // targets not to be tried again for this opening
@@ -39,17 +39,22 @@
 // marks those whose home this one became, to be counted with the next packet
 // that shows activity. It returns what the new homes need: pending openings,
 // flows that use slots, and streams that few other balancers can know and whose
-// target is not their first candidate. The lock is released between the parts
+// target is not their first candidate; and flows that ended here lately, which
+// the new homes may have counted already. The lock is released between the parts
 // of the table, so that a large table does not delay openings.
-func (r *Router) recount(now time.Duration, v *View) []Moved {
+func (r *Router) recount(now time.Duration, old, v *View) []Moved {
 	var out []Moved
-	streams := 0
+	streams, ends := 0, 0
 	for part := range flow.Parts {
 		r.mu.Lock()
 		r.table.EachInPart(part, func(e *flow.Entry) bool {
 			if m, ok := r.recountOne(now, v, e, &streams); ok {
 				out = append(out, m)
 			}
+			if m, ok := describeEnd(now, old, v, e); ok && ends < maxMovedEnds {
+				out = append(out, m)
+				ends++
+			}
 			return true
 		})
 		r.mu.Unlock()
@@ -139,10 +144,15 @@
 	if id == 0 && m.State != flow.Queued {
 		return
 	}
-	r.Increment(FlowHandedOver)
 	k := flow.NewKey(m.Caller, a.ID)
 	e, known := r.load(k, k.Hash())
 	known = known && !isMarker(e.State)
+	if m.State == flow.Closing {
+		e.Key = k
+		r.takeEnd(now, v, a, e, known, m, id, out)
+		return
+	}
+	r.Increment(FlowHandedOver)
 	if m.Opening != nil {
 		r.takeOpening(now, v, m, a, id, e, known, out)
 		return
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -133,6 +133,7 @@
 	Full              bool                `cbor:"14,keyasint,omitempty"` // Pull: Have lists all entries; Above is not used
 	Versions          []catalogue.Version `cbor:"15,keyasint,omitempty"`
 	Flows             []Flow              `cbor:"16,keyasint,omitempty"`
+	Ended             []Flow              `cbor:"17,keyasint,omitempty"` // Handover: flows that ended at the sender lately
 }
 
 // ErrVersion is returned for a message of a version below MinVersion.
--- a/internal/wire/message_test.go
+++ b/internal/wire/message_test.go
@@ -15,6 +15,7 @@
 		TargetConnections: []TargetConnections{{Target: 1, Connections: 2}},
 		Health:            []Health{{Target: 1, Checker: 2, Seq: 3, Healthy: true, Load: 40}},
 		Flows:             []Flow{{Caller: netip.MustParseAddrPort("198.51.100.1:2"), Target: netip.MustParseAddr("::1"), Opening: []byte{1}}},
+		Ended:             []Flow{{Caller: netip.MustParseAddrPort("198.51.100.1:3"), Target: netip.MustParseAddr("::1"), Seq: 4}},
 	}
 	b, err := Encode(m)
 	if err != nil {
