router: an answer with payload ends the wait for its target's SYN-ACK

Cause: two homes chose the same target for one opening. One delivered the SYN-ACK. The answer to the request, with FIN, reached the other one, which still waited for the SYN-ACK: it took the answer for a challenge ACK, forwarded it and kept waiting. A late copy of the SYN-ACK then opened the flow that had ended.

TestAnswerContinuesItsOpening failed before ("1 slots are in use, want 0").

Why this works: payload that acknowledges the caller's first bytes shows that the caller is connected to this target, as acceptedElsewhere concludes for another target's answers. A challenge ACK is bare, and is handled as before.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -151,6 +151,8 @@
 		c.deliverAccept(e)
 	case e.State == flow.Probing && !c.answersProbe(e):
 		c.report(DropCrossedAnswer, e)
+	case c.connectedByOther(e):
+		c.continueOpening(e)
 	case e.State == flow.Opening:
 		// The target has an older flow with the same ports and sends a
 		// challenge ACK (RFC 5961). The caller answers with a reset, which
--- a/internal/router/crossed.go
+++ b/internal/router/crossed.go
@@ -28,6 +28,24 @@
 	return true
 }
 
+// connectedByOther reports whether an answer of the target of a pending opening shows that the
+// caller is connected there, as it acknowledges the caller's payload. While views differ, another
+// balancer may deliver the SYN-ACK as home.
+func (c *call) connectedByOther(e *flow.Entry) bool {
+	unacked := c.seg.Ack - e.Seq - 1
+	return e.State == flow.Opening && c.seg.HasAck() && !c.isBareAck() && unacked > 0 && unacked < maxUnacked
+}
+
+// continueOpening handles an answer that connectedByOther reports as one of an established
+// connection.
+func (c *call) continueOpening(e *flow.Entry) {
+	if o := c.r.openings[e.Key]; o != nil {
+		c.r.removeOpening(e.Key, o)
+	}
+	e.State = flow.Open
+	c.deliverAnswer(e)
+}
+
 // dropCrossed drops an answer of a target other than the recorded one. Such an
 // answer is called crossed.
 //
--- a/internal/router/ended_test.go
+++ b/internal/router/ended_test.go
@@ -174,3 +174,16 @@
 	home.Take(time.Second, former.SetView(time.Second, after), out)
 	wantSlots(t, home, 1)
 }
+
+// Another balancer has delivered the SYN-ACK of a target whose answer arrives here while the
+// opening is pending. The answer ends the request, so that the slot must be free.
+func TestAnswerContinuesItsOpening(t *testing.T) {
+	r, v := newTestRouter(0, 1, 1)
+	out := &Output{}
+	fromCaller(r, time.Second, syn(testCaller, slotAddress, 1000), out)
+	fromTarget(r, time.Second, v.Targets[1].Addr, answerWith(header.TCPFlagFin), out)
+	only(t, out, ToCaller)
+	wantSlots(t, r, 0)
+	fromTarget(r, time.Second, v.Targets[1].Addr, synAck(testCaller, slotAddress), out)
+	wantSlots(t, r, 0)
+}
