router: a search for a silent flow's target ends its pending opening

Cause: silentAtHome started a search although the home waited for the SYN-ACK of the flow's opening, and stored the record of the search over the counted one. The opening stayed pending without a record.

Why this works: probeAfterAsking, which handles the same case after other balancers were asked, releases the slot and removes the opening before it searches.

--- a/internal/router/ended_test.go
+++ b/internal/router/ended_test.go
@@ -187,3 +187,18 @@
 	fromTarget(r, time.Second, v.Targets[1].Addr, synAck(testCaller, slotAddress), out)
 	wantSlots(t, r, 0)
 }
+
+// Another balancer knows the target of a request whose opening is pending here, and passes a
+// segment of its caller. The search for the target must free the slot of the opening, or it stays
+// in use for as long as the process runs.
+func TestProbeEndsThePendingOpening(t *testing.T) {
+	r, v := newTestRouter(0, 1, 2)
+	out := &Output{}
+	fromCaller(r, time.Second, syn(testCaller, slotAddress, 1000), out)
+	other := otherThan(v, only(t, out, ToTarget).Target)
+	hop := geneve.Hop{Kind: geneve.Silent, Count: 1, Target: other}
+	request := packet.Build(testCaller, slotAddress, 1001, 5001, header.TCPFlagAck|header.TCPFlagPsh, []byte("POST"))
+	passed(r, time.Second, v.Nodes[0].Data.Addr(), hop, request, out)
+	only(t, out, ToTarget)
+	wantSlots(t, r, 0)
+}
--- a/internal/router/silent.go
+++ b/internal/router/silent.go
@@ -70,7 +70,8 @@
 		c.report(FlowAdopted, &e)
 	}
 	if !c.forwardByEntry(&e) {
-		c.probeUnknown(0)
+		e, ok = c.load() // forwardByEntry may have removed a crossed entry
+		c.probeAfterAsking(e, ok && !isMarker(e.State))
 	}
 }
 
