model: no slot is in use after changes of homes

Change: random runs in which balancers join and leave, without losses and crashes. 10 s after all requests have ended, six times less than the time after which a flow counts as idle, no balancer may count a slot as in use.

--- a/internal/model/endpoint.go
+++ b/internal/model/endpoint.go
@@ -42,6 +42,7 @@
 	targetISN       uint32 // that target's initial sequence number
 	answeredBy      int    // index of the target that answered, or -1
 	retransmissions int
+	closes          bool // answers packets after the end of its connection with resets, as a closed socket does
 }
 
 func newCaller(i int) *caller {
@@ -80,6 +81,10 @@
 		return c.receiveSynSent(seg, sender)
 	case established:
 		return c.receiveEstablished(seg, sender)
+	case answered:
+		if c.closes && !seg.IsReset() {
+			return [][]byte{packet.ResetTo(seg)}
+		}
 	case refused, idle:
 		if !seg.IsReset() {
 			return [][]byte{packet.ResetTo(seg)}
--- a/internal/model/explore.go
+++ b/internal/model/explore.go
@@ -127,7 +127,7 @@
 		var out []step
 		for j, b := range w.balancers {
 			// The fabric sends nothing to balancers that do not serve yet.
-			if !b.dead && j < w.bounds.serving(b.view) {
+			if !b.dead && w.bounds.joined(j, b.view) {
 				out = append(out, step{stepDeliver, i, j})
 			}
 		}
--- a/internal/model/random_test.go
+++ b/internal/model/random_test.go
@@ -81,7 +81,11 @@
 }
 
 func randomRun(t *rapid.T) {
-	w := newWorld(drawBounds(t))
+	randomSteps(t, newWorld(drawBounds(t)))
+}
+
+// randomSteps applies random steps, ends all faults, and fails if a property is violated.
+func randomSteps(t *rapid.T, w *world) {
 	for range rapid.IntRange(0, maxRandomSteps).Draw(t, "steps") {
 		steps := w.steps()
 		if len(steps) == 0 {
--- a/internal/model/view.go
+++ b/internal/model/view.go
@@ -10,7 +10,8 @@
 )
 
 // setView applies view n at balancer i. With each view one more of the joining
-// balancers serves and one more of the draining targets is no longer eligible.
+// balancers serves, one more of the leaving ones does not, and one more of the
+// draining targets is no longer eligible.
 func (w *world) setView(i, n int) {
 	b := w.balancers[i]
 	b.view = n
@@ -47,7 +48,7 @@
 		indexes = append(indexes, j)
 		v.Nodes = append(v.Nodes, router.Node{
 			Name: nodeName(j), Data: netip.AddrPortFrom(nodeAddr(j), geneve.Port),
-			Seed: rendezvous.Seed(nodeName(j)), Serving: j < w.bounds.serving(n),
+			Seed: rendezvous.Seed(nodeName(j)), Serving: w.bounds.serves(j, n),
 		})
 	}
 	return indexes
--- a/internal/model/violation.go
+++ b/internal/model/violation.go
@@ -59,5 +59,16 @@
 	if !w.bounds.Class.UsesSlots() {
 		return w.bounds.Callers
 	}
-	return w.bounds.Slots * (1 + 2*(w.bounds.Joins+w.bounds.Crashes))
+	return w.bounds.Slots * (1 + 2*(w.bounds.Joins+w.bounds.Leaves+w.bounds.Crashes))
+}
+
+// slotsInUse returns the number of slots that the balancers count as in use.
+func (w *world) slotsInUse() int {
+	n := 0
+	for _, b := range w.balancers {
+		for _, u := range b.r.Usage() {
+			n += u.Slots
+		}
+	}
+	return n
 }
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -32,6 +32,7 @@
 	Sheds             int // openings that targets refuse
 	Crashes           int // of balancers
 	Joins             int // number of last balancers that join, one with each view
+	Leaves            int // number of first balancers that stop serving, one with each view
 	Depth             int // steps from the initial state
 	States            int // stop after this number of states
 	Class             catalogue.Class
@@ -39,6 +40,7 @@
 	Slots             int  // of each target, 2 if zero
 	Drains            int  // number of first targets that drain, one with each view
 	BareAcks          bool // targets answer retransmitted openings with bare acknowledgements
+	ClosedCallers     bool // callers reset what comes after the end of their connections
 	NoPeers           bool // broken variant: no balancer knows any other
 	ResetOnLateAccept bool // broken variant: a target is reset as soon as its SYN-ACK is dropped
 }
@@ -52,10 +54,13 @@
 }
 
 // views returns the number of view changes.
-func (b Bounds) views() int { return max(b.Joins, b.Drains) }
+func (b Bounds) views() int { return max(b.Joins, b.Leaves, b.Drains) }
 
-// serving returns the number of balancers that serve in view n.
-func (b Bounds) serving(n int) int { return b.Balancers - b.Joins + min(n, b.Joins) }
+// joined reports whether balancer i has joined in view n.
+func (b Bounds) joined(i, n int) bool { return i < b.Balancers-b.Joins+min(n, b.Joins) }
+
+// serves reports whether balancer i has joined and does not leave in view n.
+func (b Bounds) serves(i, n int) bool { return b.joined(i, n) && i >= min(n, b.Leaves) }
 
 const (
 	tickStep = 260 * time.Millisecond // time between two ticks of a router
@@ -131,7 +136,9 @@
 	b = b.defaults()
 	w := &world{bounds: b, budget: b}
 	for i := range b.Callers {
-		w.callers = append(w.callers, newCaller(i))
+		c := newCaller(i)
+		c.closes = b.ClosedCallers
+		w.callers = append(w.callers, c)
 	}
 	for i := range b.Targets {
 		w.targets = append(w.targets, &target{
