link: a message right after the last packet is not taken for answered

A peer of a killed balancer could send one more message into the dead process's connection, and notice only at the message after it, seconds later.

Cause: watchAnswers compares the numbers of messages and of received packets every 250 ms. A message that was sent after the last packet arrived, in the same 250 ms, counted as answered by that packet.

Why this works: the number of received packets is noted before each message. The message is unanswered until that number grows, whenever the check looks. A connection is closed after four checks in a row as before, each of which now also requires that no packet arrived since the one before, so that no connection is closed earlier.

--- a/internal/link/connection.go
+++ b/internal/link/connection.go
@@ -25,12 +25,14 @@
 // connection is an established QUIC connection to a peer.
 type connection struct {
 	quic *quic.Conn
-	sent atomic.Uint64 // number of messages, to detect a peer that answers none
+	// receivedAtSend is the number of packets received before the last message was sent, to
+	// detect a peer that does not answer it.
+	receivedAtSend atomic.Uint64
 }
 
 // write sends one message. It can block while the connection is congested.
 func (c *connection) write(b []byte) error {
-	c.sent.Add(1)
+	c.receivedAtSend.Store(c.received())
 	if len(b) <= maxDatagram && c.quic.SendDatagram(b) == nil {
 		return nil
 	}
@@ -93,22 +95,25 @@
 func (c *connection) watchAnswers() bool {
 	t := time.NewTicker(answerCheckInterval)
 	defer t.Stop()
-	var packets, answered uint64
+	var before uint64
 	for missed := 0; missed < maxUnansweredChecks; {
 		select {
 		case <-c.quic.Context().Done():
 			return false
 		case <-t.C:
 		}
-		sent, received := c.sent.Load(), c.quic.ConnectionStats().PacketsReceived
-		if received == packets && sent > answered {
+		received := c.received()
+		if received == before && received == c.receivedAtSend.Load() {
 			missed++
 			continue
 		}
-		packets, answered, missed = received, sent, 0
+		before, missed = received, 0
 	}
 	return true
 }
 
+// received returns the number of packets received on the connection.
+func (c *connection) received() uint64 { return c.quic.ConnectionStats().PacketsReceived }
+
 // close closes the connection and returns when the peer has been sent the close.
 func (c *connection) close(reason string) { _ = c.quic.CloseWithError(0, reason) }
--- a/internal/link/replaced_test.go
+++ b/internal/link/replaced_test.go
@@ -98,6 +98,16 @@
 	})
 }
 
+// A balancer is killed, and a single message is sent to it soon after its last packet. The message
+// has no answer, so that the connection must be closed, or the next message would be lost too.
+func TestMessageSoonAfterTheLastPacketIsUnanswered(t *testing.T) {
+	p := newPair(t, "127.0.8.19:7100", "127.0.8.20:7100")
+	kill(t, p.b)
+	time.Sleep(50 * time.Millisecond) // for packets on their way
+	p.pingB()
+	expectWithin(t, reachTimeout, "the end of the connection", func() bool { return p.a.Count.Unanswered.Load() > 0 })
+}
+
 // A planned stop must close the connections in a way that arrives, so that the peers'
 // next messages open new ones. Several pairs, as the close races with the socket's.
 func TestStopClosesConnections(t *testing.T) {
