--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -185,7 +185,7 @@
 		return
 	}
 	if e.State == flow.Open && c.provesActive() {
-		c.r.acquire(e, c.addr.Service, c.addr.Unit())
+		c.acquire(e)
 	}
 	c.r.store(*e)
 }
@@ -277,7 +277,7 @@
 	if c.seg.IsFin() {
 		e.State = flow.Closing
 	} else if c.isHome() && (c.seg.IsAccept() || c.provesActive()) {
-		c.r.acquire(&e, c.addr.Service, c.addr.Unit())
+		c.acquire(&e)
 	}
 	c.report(FlowAdopted, &e)
 	if !c.r.store(e) {
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -107,3 +107,26 @@
 		r.Tick(now, out)
 	}
 }
+
+// BenchmarkSweep measures a sweep of the whole table with 100,000 requests of a home among 600
+// balancers.
+func BenchmarkSweep(b *testing.B) {
+	const nodes, flows = 600, 100_000
+	v := testView(slotHome(testView(0, nodes, 14)), nodes, 14)
+	r := New(Settings{AliveInterval: time.Hour, RequestIdle: 1 << 62})
+	r.SetView(0, v)
+	out := &Output{}
+	for i := range flows {
+		caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 51, byte(i >> 16), byte(i >> 8)}), uint16(20000+i&0xff))
+		answer := packet.Build(slotAddress, caller, 5001, 1005, header.TCPFlagAck, []byte("done"))
+		fromTarget(r, time.Second, v.Targets[1].Addr, answer, out)
+	}
+	now := time.Second
+	for b.Loop() {
+		now += sweepEvery
+		r.Tick(now, out)
+	}
+	if r.Flows() != flows {
+		b.Fatalf("%d flows are left", r.Flows())
+	}
+}
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -213,7 +213,7 @@
 		return true
 	}
 	if e.Flags&uncounted != 0 && c.provesActive() {
-		c.r.acquire(e, c.addr.Service, c.addr.Unit())
+		c.acquire(e)
 	}
 	if c.resetSilent(e) {
 		return true
--- a/internal/router/ended.go
+++ b/internal/router/ended.go
@@ -40,11 +40,14 @@
 }
 
 // releaseElsewhere releases an entry that is counted here although another balancer is the home of
-// its flow, unless its opening is pending. The home counts the flow and learns of its end.
+// its flow, unless its opening is pending. The home counts the flow and learns of its end. Only
+// flows that were counted for another home are looked at, as looking for the home takes long in a
+// large group, and a change of homes looks at every flow.
 func (r *Router) releaseElsewhere(e *flow.Entry) {
-	if e.Flags&flow.Counted == 0 || r.openings[e.Key] != nil {
+	if e.Flags&elsewhere == 0 || r.openings[e.Key] != nil {
 		return
 	}
+	e.Flags &^= elsewhere
 	v := r.view.Load()
 	a, ok := v.addressByID(e.Key.Address)
 	if ok && v.home(a.homeKey(hashFlow(e.Key.CallerAddr(), a.addr)), false) != v.Self {
--- a/internal/router/entries.go
+++ b/internal/router/entries.go
@@ -13,6 +13,10 @@
 // still active; see provesActive.
 const uncounted uint8 = 1 << 7
 
+// elsewhere is another such flag. It marks the entry of a flow that may have been counted while
+// another balancer was its home; see releaseElsewhere.
+const elsewhere uint8 = 1 << 6
+
 // load returns a copy of the entry of the call's flow.
 func (c *call) load() (flow.Entry, bool) { return c.r.load(c.key, c.keyHash) }
 
@@ -51,6 +55,14 @@
 	s.Unlock()
 }
 
+// acquire counts the entry of the call's flow at its target unless it is counted already.
+func (c *call) acquire(e *flow.Entry) {
+	if !c.isHome() {
+		e.Flags |= elsewhere
+	}
+	c.r.acquire(e, c.addr.Service, c.addr.Unit())
+}
+
 // acquire counts e at its target unless it is counted already.
 func (r *Router) acquire(e *flow.Entry, service uint32, u balance.Unit) {
 	e.Flags &^= uncounted
--- a/internal/router/formerhome.go
+++ b/internal/router/formerhome.go
@@ -55,7 +55,7 @@
 	case c.acceptsUndispatched(e, id):
 		e.Target = id
 		e.State = flow.Opening
-		c.r.acquire(e, c.addr.Service, c.addr.Unit())
+		c.acquire(e)
 		return false
 	}
 	return c.forwardCrossedAccept(e, id)
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -168,7 +168,7 @@
 		e = flow.Entry{Key: k, Target: id, Seq: m.Seq, State: m.State}
 	}
 	e.LastPacket = tick(now)
-	e.Flags |= flow.HandedOver
+	e.Flags |= flow.HandedOver | elsewhere // the view may not have changed here yet
 	r.acquire(&e, a.Service, a.Unit())
 	if !r.store(e) {
 		r.release(&e, a.Service, a.Unit())
@@ -218,7 +218,7 @@
 			o.exclude(id)
 		}
 	}
-	e = flow.Entry{Key: flow.NewKey(m.Caller, a.ID), Seq: m.Seq, LastPacket: tick(now), State: m.State}
+	e = flow.Entry{Key: flow.NewKey(m.Caller, a.ID), Seq: m.Seq, LastPacket: tick(now), State: m.State, Flags: elsewhere}
 	if !r.store(e) {
 		return
 	}
--- a/internal/router/opening.go
+++ b/internal/router/opening.go
@@ -120,6 +120,9 @@
 		return
 	}
 	e := flow.Entry{Key: c.key, Seq: c.seg.Seq, LastPacket: tick(c.now), State: flow.Queued}
+	if !c.isHome() {
+		e.Flags = elsewhere
+	}
 	if !c.r.store(e) {
 		c.r.Increment(DropTableFull)
 		return
--- a/internal/router/silent.go
+++ b/internal/router/silent.go
@@ -66,7 +66,7 @@
 			return
 		}
 		e = flow.Entry{Key: c.key, Target: id, State: flow.Open, LastAnswer: tick(c.now)}
-		c.r.acquire(&e, c.addr.Service, c.addr.Unit())
+		c.acquire(&e)
 		c.report(FlowAdopted, &e)
 	}
 	if !c.forwardByEntry(&e) {
