Direct: refused checks of a draining target are not counted as failed

Operators saw "target checked ... finding gone" twice within 0.1 s for a target that was draining, and its open flows reset; callers lost requests shortly before their answers.

Cause: a target that has announced its end closes its listening socket first and then answers the requests it has, so every check of it is refused. hasEnded asks for a silence as long as a full queue takes, but Checked counted the refused check and marked the target dead by its rule for two failed checks, which needs only one retransmission.

Change: a refused check of a draining target that is not silent for that long is not counted as failed and not reported to peers, which would have counted it as the first of their own two failed checks. Unanswered checks are handled as before.

The fix works because only hasEnded can now take a refusal as the end of the target.

--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -167,6 +167,12 @@
 		t.clearSuspicion()
 		return CheckResult{}
 	}
+	if x == Gone && !t.dead && !f.hasEnded(now, t) {
+		// Not counted as a failed check: a draining target refuses connections while it still
+		// answers its last requests.
+		t.finding = Gone
+		return CheckResult{}
+	}
 	f.addSuspect(t)
 	result := CheckResult{Notify: t.finding == Alive && !t.peerSuspected}
 	t.finding = x
@@ -178,7 +184,7 @@
 	switch {
 	case x == Restarted:
 		// The next registration decides which flows are lost.
-	case x == Gone && f.hasEnded(now, t):
+	case x == Gone:
 		result.Resets = f.markDead(now, t)
 	case !f.othersAlive(now, t) && !f.ownLinkWorks(now, t):
 		f.probeOwnLink(now, t)
@@ -198,8 +204,7 @@
 // requests it has; treating it as ended would reset flows 10 ms before their answer. If a
 // caller's retransmission stays unacknowledged, the target has probably ended. But with a full
 // queue, callers retransmit before their turn comes, so the target must also have shown no
-// life for as long as the queue takes. After a second failed check, silenceConfirmed suffices;
-// see Checked.
+// life for as long as the queue takes, however many checks are refused until then.
 func (f *Forwarder) hasEnded(now time.Duration, t *target) bool {
 	return !t.Draining || t.silenceConfirmed() && now-t.lastAlive > f.CheckTimeout(t.Service)
 }
--- a/internal/direct/suspect_test.go
+++ b/internal/direct/suspect_test.go
@@ -143,6 +143,42 @@
 	}
 }
 
+// A target that had announced that it leaves refuses connections while it works on its queue,
+// and its callers retransmit. Refused checks must not count towards marking it dead, neither
+// two in a row nor one before an unanswered check: its flows would be reset shortly before
+// their answers.
+func TestRefusedChecksOfEndingTargetDoNotCount(t *testing.T) {
+	for _, findings := range [][]Finding{{Gone, Gone, Gone}, {Gone, Gone, Silent}} {
+		b := newFixture(t, manyTargets(5)...)
+		b.showAllAlive(0)
+		ending := b.openFlow(1, streams)
+		leaves := b.state(ending).Target
+		leaves.Draining = true
+		b.f.PutTarget(b.now, leaves)
+		b.sendRequest(1, streams, ending, 101, 1000)
+		b.now += 200 * time.Millisecond
+		for _, x := range findings {
+			b.now += confirmPause
+			b.showAllAlive(ending)
+			b.sendRequest(1, streams, ending, 101, 1000)
+			if len(b.f.TargetsToCheck(b.now)) != 1 {
+				t.Fatalf("%v: the target is not checked", findings)
+			}
+			b.now += time.Millisecond
+			result := b.f.Checked(b.now, Start{ID: ending}, x)
+			if silent := b.now - b.state(ending).lastAlive; len(result.Resets) != 0 {
+				t.Errorf("%v: %d flows are reset after %v of silence, within the check timeout of %v", findings, len(result.Resets), silent, b.f.CheckTimeout("s"))
+			}
+			if x == Gone && result.Notify {
+				t.Errorf("%v: peers are told of a refused check", findings)
+			}
+		}
+		answered := packet(1, streams, ACK, ending.Cookie())
+		answered.Seq, answered.Ack = 401, 3000
+		b.want(b.handle(answered), Forwarded)
+	}
+}
+
 // Targets are suspected by mistake, and no flow is left to show that they are alive. The
 // suspicion must expire by itself, and a service whose targets are all suspected must stay
 // available.
