Edge: full copies for old revisions take a slot and are counted

A balancer that asked with a store revision older than the history of the asked one, or of another era, got a full copy without a slot. Over a link of 10 Mbit/s any number of copies was sent at once, so that those of starting balancers arrived late too, and operators saw none of them in copies_sent and copies_refused.

Cause: serveChanges took the slot if the revision was 0, while changes decides later, on the control goroutine, whether a full copy is needed.

Change: changes returns errNeedsCopy if a full copy is needed and no slot is held; serveChanges then acquires a slot and asks again. A copy is counted as sent when it is one and is written.

The fix works because items of a full copy can no longer be returned without mayCopy, which is set only with a slot.

--- a/internal/edge/servechanges.go
+++ b/internal/edge/servechanges.go
@@ -46,9 +46,8 @@
 	return nil
 }
 
-// serveChanges handles requests for changes. Those after revision 0 are for a full copy and
-// wait for a slot; others that have to be answered with one do not. It runs on the server's
-// goroutines.
+// serveChanges handles requests for changes. A request that has to be answered with a full
+// copy waits for a slot first. It runs on the server's goroutines.
 func (c *control) serveChanges(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
@@ -60,25 +59,55 @@
 		http.Error(w, "era: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	if after == 0 {
-		if err := c.acquireCopySlot(r.Context()); err != nil {
-			c.edge.counts.copiesRefused.Add(1)
-			c.log.Info("copy refused", zap.String("to", r.RemoteAddr), zap.String("reason", err.Error()))
-			w.WriteHeader(http.StatusServiceUnavailable)
+	if after != 0 {
+		ch, err := c.requestOwnChanges(r.Context(), after, era, false)
+		if !errors.Is(err, errNeedsCopy) {
+			if err == nil {
+				c.writeChanges(w, ch)
+			}
 			return
 		}
-		defer func() { <-c.copySlots }()
+	}
+	if err := c.acquireCopySlot(r.Context()); err != nil {
+		c.edge.counts.copiesRefused.Add(1)
+		c.log.Info("copy refused", zap.String("to", r.RemoteAddr), zap.String("reason", err.Error()))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-c.copySlots }()
+	ch, err := c.requestOwnChanges(r.Context(), after, era, true)
+	if err != nil {
+		return
+	}
+	if ch != nil && ch.Full {
 		c.edge.counts.copiesSent.Add(1)
 	}
-	answer := make(chan *peer.Changes, 1)
-	c.post(func() { answer <- c.changes(after, era) })
+	c.writeChanges(w, ch)
+}
+
+// requestOwnChanges returns the result of changes, which runs on the control goroutine, or an
+// error if ctx ends first. It may be called from any goroutine.
+func (c *control) requestOwnChanges(ctx context.Context, after, era int64, mayCopy bool) (*peer.Changes, error) {
+	type result struct {
+		changes *peer.Changes
+		err     error
+	}
+	answer := make(chan result, 1)
+	c.post(func() {
+		ch, err := c.changes(after, era, mayCopy)
+		answer <- result{ch, err}
+	})
 	select {
-	case ch := <-answer:
-		c.writeChanges(w, ch)
-	case <-r.Context().Done():
+	case res := <-answer:
+		return res.changes, res.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
 }
 
+// errNeedsCopy is returned by changes if only a full copy answers a request.
+var errNeedsCopy = errors.New("a full copy is needed")
+
 // Reasons for which a request for a full copy is refused.
 var (
 	errNoCopy         = errors.New("no copy here yet")
@@ -140,22 +169,30 @@
 
 // changes returns the changes after a revision of an era. It returns all items if the
 // revision is 0, not all changes after it are known, or the era differs from this
-// replica's, and nil if there is no replica yet.
-func (c *control) changes(after, era int64) *peer.Changes {
+// replica's, and nil if there is no replica yet. If mayCopy is false, it returns
+// errNeedsCopy instead of all items.
+//
+// Guards against balancers that lag behind this one's history, as many do at once after the
+// store has compacted its own. Copies sent to them without a slot would share a slow link
+// with those of starting balancers, and all would arrive late.
+func (c *control) changes(after, era int64, mayCopy bool) (*peer.Changes, error) {
 	if !c.replica.Loaded() {
-		return nil
+		return nil, nil
 	}
 	here := c.replica.Position()
 	ch := &peer.Changes{Era: here.Era, Position: here.Number, Age: c.replica.Age(c.now())}
 	items, ok := c.replica.Since(after)
 	if !ok || after == 0 || era != anyEra && era != here.Era {
+		if !mayCopy {
+			return nil, errNeedsCopy
+		}
 		items, ch.Full = c.replica.All(), true
 	}
 	b, err := c.packer.Pack(ch.Full, items, here.At(c.replica.LastChange()))
 	if err != nil {
 		c.log.Error("control: changes not encoded", zap.Error(err))
-		return nil
+		return nil, nil
 	}
 	ch.Packed = b
-	return ch
+	return ch, nil
 }
