Edge: a planned stop is announced at once in large fleets

In fleets of more than 16 balancers, a balancer that neither reads the store nor is the first in rank of its data centre never announced its planned stop; a reader or a first in rank did so up to 0.2 s late, the latter to its own data centre only. Operators saw no line "balancer is stopping" for most balancers of a rolling replacement, and the others could not tell a stop from a loss.

Cause: leave sent the announcement to the recipients of the regular heartbeat of the tick, which are none for most balancers of a large fleet, and none in every second tick for the others. The line was also logged only if an earlier heartbeat of the same balancer was known.

Change: in a large fleet the announcement goes to the data centre and to the relays of the others at the stop and at the next three ticks, as datagrams may be lost. The first heartbeat of a stopping balancer is logged as a stop. Small fleets send as before.

Evidence: TestStopIsAnnouncedInLargeFleets fails before the change (no announcement within 1 s at a balancer of the data centre and at two relays, no line); the fix works because the announcement no longer depends on the sender of regular heartbeats.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -63,11 +63,13 @@
 	version        int64         // of the catalogue in force
 	lease          lease
 	leaving        bool
-	alarmDue       bool          // a new suspicion or a dead target has to be reported
-	alarmSent      time.Duration // when the last alarm was sent
-	outcomesSent   time.Duration // see sendOutcomesIfDue
-	ticks          int
-	storeLost      bool // the last read of the store failed
+	// stopAnnouncements is the number of announcements of the planned stop still to be sent.
+	stopAnnouncements int
+	alarmDue          bool          // a new suspicion or a dead target has to be reported
+	alarmSent         time.Duration // when the last alarm was sent
+	outcomesSent      time.Duration // see sendOutcomesIfDue
+	ticks             int
+	storeLost         bool // the last read of the store failed
 }
 
 // peerState is the state of another balancer according to its heartbeats.
@@ -195,5 +197,6 @@
 	}
 	c.sendAlarmIfDue(now)
 	c.sendOutcomesIfDue(now)
+	c.announceStopIfDue(now)
 	c.heartbeat(now)
 }
--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -24,6 +24,10 @@
 	// large fleets. With it, each of 24 balancers of a data centre receives at most 80 such
 	// updates per second.
 	outcomeInterval = 3 * tickInterval
+	// stopAnnouncements is how often a planned stop is announced in a large fleet, at the stop
+	// and at the ticks after it. Datagrams may be lost, and most balancers send no regular
+	// heartbeats that would repeat the announcement.
+	stopAnnouncements = 4
 )
 
 // heartbeat sends this balancer's heartbeat to the recipients of this tick.
@@ -64,6 +68,25 @@
 	}
 }
 
+// announceStopIfDue announces a planned stop. In a large fleet it goes to all balancers of this
+// data centre and to the relays of the others, as often as stopAnnouncements says. In a small
+// one the regular heartbeats repeat it.
+//
+// Without this, a balancer of a large fleet announced its stop with its next regular heartbeat,
+// which most balancers never send, and the others took it for a live one or a lost one.
+func (c *control) announceStopIfDue(now time.Duration) {
+	if c.stopAnnouncements == 0 {
+		return
+	}
+	c.stopAnnouncements--
+	if c.fleet.Small() {
+		c.stopAnnouncements = 0
+		c.heartbeat(now)
+		return
+	}
+	c.sendHeartbeat(now, slices.Concat(c.fleet.Near(), c.fleet.Relays()))
+}
+
 func (c *control) sendHeartbeat(now time.Duration, to []netip.AddrPort) {
 	if len(to) == 0 {
 		return
--- a/internal/edge/heartbeat_test.go
+++ b/internal/edge/heartbeat_test.go
@@ -1,13 +1,17 @@
 package edge
 
 import (
+	"fmt"
+	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"rosedale.dev/rosedale/internal/direct"
 	"rosedale.dev/rosedale/internal/peer"
+	"rosedale.dev/rosedale/platform"
 )
 
 // A heartbeat with the maximum content exceeds the size of a datagram. It must be sent
@@ -43,3 +47,86 @@
 		t.Errorf("%d suspected, %d loads arrive", len(got.Suspected), len(got.Loads))
 	}
 }
+
+// silentMember registers a balancer that sends nothing, and returns the socket on which it
+// receives heartbeats.
+func (d *deployment) silentMember(dataCenter string, i int) *net.UDPConn {
+	d.t.Helper()
+	ip := address(d.net, balancerNet, i)
+	m := peer.Member{VM: ip.String(), DataCenter: dataCenter, Control: netip.AddrPortFrom(ip, 17002)}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(m.Control))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() { _ = conn.Close() })
+	value, err := peer.Encode(m)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.store.PutRaw(platform.MemberPrefix+m.VM, value)
+	return conn
+}
+
+// announcements returns how long after a time each announcement of a balancer's stop arrives,
+// within a second.
+func announcements(t *testing.T, conn *net.UDPConn, from string, since time.Time) []time.Duration {
+	t.Helper()
+	if err := conn.SetReadDeadline(since.Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	var out []time.Duration
+	buf := make([]byte, peer.MaxMessage+1)
+	for {
+		n, err := conn.Read(buf)
+		if err != nil {
+			return out
+		}
+		var h peer.Heartbeat
+		if err := peer.Decode(buf[:n], &h); err != nil {
+			t.Fatal(err)
+		}
+		if h.From == from && h.Leaving {
+			out = append(out, time.Since(since))
+		}
+	}
+}
+
+// In a large fleet, a balancer that neither reads the store nor is the first in rank sends no
+// regular heartbeats. Its planned stop must nevertheless be announced to its data centre and
+// to the relays of the others, at once and more than once, as a datagram may be lost.
+func TestStopIsAnnouncedInLargeFleets(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 2)
+	d.waitForPeers()
+	leaving := d.balancers[1]
+	told := map[string]*net.UDPConn{"near": d.silentMember("a", 100), "relay 1": d.silentMember("b", 101), "relay 2": d.silentMember("b", 102)}
+	for i := range peer.SmallFleet {
+		d.silentMember("b", 110+i)
+	}
+	position := func() int64 { return leaving.adminStatus(t).Position }
+	before := position()
+	d.store.Put(platform.CatalogueKey, desiredState(2, previews, scans))
+	d.eventually(3*time.Second, "the registrations have arrived", func() bool { return position() > before && leaving.adminStatus(t).Version == 2 })
+	time.Sleep(2 * wideTicks * tickInterval) // until the last heartbeats of the small fleet are sent
+	since := time.Now()
+	leaving.stop()
+	found := make(chan string, len(told))
+	for name, conn := range told {
+		go func() {
+			got := announcements(t, conn, leaving.boot.VM, since)
+			if len(got) < 3 || slices.Min(got) > 300*time.Millisecond {
+				found <- fmt.Sprintf("%s: announcements after %v, want at least 3, the first one at once", name, got)
+				return
+			}
+			found <- ""
+		}()
+	}
+	for range told {
+		if problem := <-found; problem != "" {
+			t.Error(problem)
+		}
+	}
+	if n := len(d.balancers[0].lines(t, "balancer is stopping")); n != 1 {
+		t.Errorf("%d lines about the stop, want 1", n)
+	}
+}
--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -133,12 +133,13 @@
 // registration returns the key of this balancer's registration.
 func (e *Edge) registration() string { return platform.MemberPrefix + e.boot.VM }
 
-// leave announces in this balancer's heartbeats that it stops, first in one to the
-// recipients of the current tick. The registration stays until the lease expires, as most
-// stops are followed by a start that reuses it. It may be called from any goroutine.
+// leave announces that this balancer stops, at once and in its further heartbeats. The
+// registration stays until the lease expires, as most stops are followed by a start that
+// reuses it. It may be called from any goroutine.
 func (c *control) leave() {
 	c.post(func() {
 		c.leaving = true
-		c.heartbeat(c.now())
+		c.stopAnnouncements = stopAnnouncements
+		c.announceStopIfDue(c.now())
 	})
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -65,10 +65,11 @@
 func (c *control) handleHeartbeat(ctx context.Context, h peer.Heartbeat, arrived time.Duration) {
 	now := c.now()
 	p := c.peers[h.From]
-	if p != nil && h.Leaving && !p.last.Leaving {
+	isNew := p == nil || now-p.lastReceived > peerSilent
+	switch {
+	case h.Leaving && (isNew || !p.last.Leaving):
 		c.log.Info("balancer is stopping", zap.String("peer", h.From))
-	}
-	if p == nil || now-p.lastReceived > peerSilent {
+	case isNew:
 		c.log.Info("heartbeat from a new or returned balancer", zap.String("peer", h.From), zap.Stringer("position", h.Revision()), zap.Int64("version", h.Version))
 	}
 	if p == nil {
