Direct: overdue requests follow the tail of their route and the saturation

A request without a sign of life from its target for three times the median caused a check, which takes a slot. Where 3 % of the requests take seven times as long, each of these caused one; in a saturated service the queues did.

Cause: requestTimeout knows the median only.

Change, on routes with a goal: - The baseline has a moving estimate of the 0.99 quantile of the response times. A request is overdue not before one and a half times that. The estimate is taken from prompt acknowledgements, also of answers that come after the answer timeout, and not while the service is saturated. - The usual timeout is multiplied by service.saturationRatio, which is 1 until admission sets the field. - Unless the ratio exceeds 1.5, both extend the timeout to 250 ms at most: callers retransmit after 200 ms, which stays evidence of its own. Routes without a goal keep their timeout.

--- a/internal/direct/baseline.go
+++ b/internal/direct/baseline.go
@@ -1,6 +1,9 @@
 package direct
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 const (
 	// initialAnswerTimeout is how long a request may stay unanswered while its route's
@@ -28,15 +31,27 @@
 	// longTermStep is the step of the long-term median. A burst of ten seconds with 40
 	// answers a second moves it by a third.
 	longTermStep = 1.0 / 1200
+	// tailQuantile is the quantile of response times that baseline.tailTime estimates.
+	tailQuantile = 0.99
+	// tailStep is the relative step of that estimate. It moves up by a quarter for an answer
+	// that takes longer and down by 1/400 for any other, so that with 3 % of answers seven
+	// times as long it reaches them within some 500 answers, half a minute at 15 a second.
+	tailStep = 1.0 / 4
+	// maxTailFactor times the median is the maximum of that estimate: answers that take seven
+	// times as long, at a target of 0.6 of the normal speed, stay below it.
+	maxTailFactor = 20
 )
 
 // baseline describes the normal answers on a route. Its medians move by a fixed relative step
 // at each answer, so that a minority of bad answers does not shift them.
 type baseline struct {
-	medianTime   float64 // median in nanoseconds
-	longTermTime float64 // long-term median in nanoseconds
-	medianSize   float64 // median in bytes
+	address      netip.AddrPort // of the route
+	medianTime   float64        // median in nanoseconds
+	longTermTime float64        // long-term median in nanoseconds
+	medianSize   float64        // median in bytes
 	samples      int
+	tailTime     float64 // moving estimate of tailQuantile in nanoseconds; see learnTail
+	tailSamples  int
 	// pendingRequests are requests without an acknowledged answer.
 	pendingRequests waitQueue
 }
@@ -61,6 +76,28 @@
 	b.longTermTime = max(moveMedian(b.longTermTime, float64(took), longTermStep), float64(minLongTermTime))
 }
 
+// learnTail updates the estimate of the tail of the response times from an answer. Unlike the
+// medians, it takes answers that come after the route's answer timeout too: they are part of
+// the tail.
+//
+// The longest of the first answers is the initial value, as the estimate would take hundreds of
+// answers to rise from the median.
+func (b *baseline) learnTail(took time.Duration) {
+	x := float64(took)
+	b.tailSamples++
+	switch {
+	case b.tailSamples <= minSamples:
+		b.tailTime = max(b.tailTime, x)
+	case x > b.tailTime:
+		b.tailTime *= 1 + tailQuantile*tailStep
+	default:
+		b.tailTime *= 1 - (1-tailQuantile)*tailStep
+	}
+	if b.samples >= minSamples {
+		b.tailTime = min(max(b.tailTime, b.medianTime), maxTailFactor*b.medianTime)
+	}
+}
+
 // moveMedian moves a median by a relative step towards x.
 func moveMedian(median, x, by float64) float64 {
 	if x > median {
--- a/internal/direct/mechanism.go
+++ b/internal/direct/mechanism.go
@@ -32,7 +32,7 @@
 )
 
 var mechanismTexts = [mechanismCount]struct{ name, description string }{
-	RequestChecks:    {"request-checks", "check a target whose request shows no sign of life for three times the normal response time"},
+	RequestChecks:    {"request-checks", "check a target whose request shows no sign of life for much longer than answers usually take"},
 	OpeningChecks:    {"opening-checks", "check a target that leaves an opening unanswered"},
 	IdleResets:       {"idle-resets", "reset idle flows of a target that is found dead"},
 	PeerDeaths:       {"peer-deaths", "take callers that wait at peers as evidence that a target is dead"},
--- a/internal/direct/observe.go
+++ b/internal/direct/observe.go
@@ -69,7 +69,7 @@
 	if s.Flags.Has(ACK) && after(s.Ack, fl.maxAck) {
 		fl.maxAck = s.Ack
 		if fl.pending {
-			f.times.Answered(now - fl.requestedAt)
+			f.recordAnswerTime(now, fl, s)
 		}
 		if fl.answer.open {
 			f.recordLatency(now, fl)
--- a/internal/direct/overdue.go
+++ b/internal/direct/overdue.go
@@ -39,12 +39,25 @@
 	q.list = append(q.list, queuedWait{fl, since})
 }
 
-// pop removes and returns the oldest entry if it began no later than a time.
-func (q *waitQueue) pop(before time.Duration) (queuedWait, bool) {
+// first returns the oldest entry if it began no later than a time.
+func (q *waitQueue) first(before time.Duration) (queuedWait, bool) {
 	if q.head == len(q.list) || q.list[q.head].since > before {
 		return queuedWait{}, false
 	}
-	w := q.list[q.head]
+	return q.list[q.head], true
+}
+
+// pop removes and returns the oldest entry if it began no later than a time.
+func (q *waitQueue) pop(before time.Duration) (queuedWait, bool) {
+	w, ok := q.first(before)
+	if ok {
+		q.dropFirst()
+	}
+	return w, ok
+}
+
+// dropFirst removes the oldest entry.
+func (q *waitQueue) dropFirst() {
 	q.list[q.head].flow = nil
 	q.head++
 	if q.head > len(q.list)/2 {
@@ -53,7 +66,6 @@
 		q.list = q.list[:n]
 		q.head = 0
 	}
-	return w, true
 }
 
 // checkOverdue looks for targets with overdue answers.
@@ -86,19 +98,45 @@
 }
 
 // checkOverdueRequests looks for targets with overdue answers on one route.
+//
+// The extended timeout is only computed while a request has exceeded the usual one, as this runs
+// for every packet.
 func (f *Forwarder) checkOverdueRequests(now time.Duration, b *baseline) {
-	timeout := b.requestTimeout()
-	for w, ok := b.pendingRequests.pop(now - timeout); ok; w, ok = b.pendingRequests.pop(now - timeout) {
-		fl := w.flow
-		if fl.removed || !fl.pending || fl.requestedAt != w.since || fl.target.lastAlive > w.since || f.without.Has(RequestChecks) {
+	usual := b.requestTimeout()
+	for w, ok := b.pendingRequests.first(now - usual); ok; w, ok = b.pendingRequests.first(now - usual) {
+		overdue := f.isUnanswered(w)
+		if overdue && now-w.since < f.overdueTimeout(b) {
+			return
+		}
+		b.pendingRequests.dropFirst()
+		if !overdue {
 			continue
 		}
-		fl.target.overdue = true
-		f.addSuspect(fl.target)
+		w.flow.target.overdue = true
+		f.addSuspect(w.flow.target)
 		f.checksDue = true
 	}
 }
 
+// isUnanswered reports whether a request is still in flight and its target has shown no life
+// since it was sent.
+func (f *Forwarder) isUnanswered(w queuedWait) bool {
+	fl := w.flow
+	return !fl.removed && fl.pending && fl.requestedAt == w.since && fl.target.lastAlive <= w.since && !f.without.Has(RequestChecks)
+}
+
+// recordAnswerTime records the response time of a request whose answer is acknowledged by s.
+//
+// The tail is not learnt from acknowledgements with data, which may come seconds after the answer
+// (see recordAck), nor while the service is saturated, when it contains the queues.
+func (f *Forwarder) recordAnswerTime(now time.Duration, fl *flow, s *Segment) {
+	took := now - fl.requestedAt
+	f.times.Answered(took)
+	if s.Len == 0 && f.service(fl.target.Service).saturationRatio() <= saturatedRatio {
+		f.baselineOf(fl.key.Address).learnTail(took)
+	}
+}
+
 // ChecksDue reports whether a target has become due for a check since the last call. If so,
 // TargetsToCheck is to be called without waiting for the next tick.
 func (f *Forwarder) ChecksDue() bool {
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -20,7 +20,7 @@
 func (f *Forwarder) baselineOf(address netip.AddrPort) *baseline {
 	b := f.outcomes.baselines[address]
 	if b == nil {
-		b = &baseline{}
+		b = &baseline{address: address}
 		f.outcomes.baselines[address] = b
 		f.outcomes.baselineList = append(f.outcomes.baselineList, b)
 	}
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -13,8 +13,15 @@
 	workPerFlow float64
 	normalRatio float64 // long-term average latency ratio
 	record      record  // of all requests through this balancer
+	// saturation is the smoothed response time relative to normal while the service is
+	// saturated; 0 means that it is not. Nothing sets it yet; admission is to do so.
+	saturation float64
 }
 
+// saturationRatio returns the factor, at least 1, by which the answers of the service take
+// longer because it is saturated.
+func (s *service) saturationRatio() float64 { return max(s.saturation, 1) }
+
 // configure applies the catalogue's settings of the service.
 func (s *service) configure(c Service) {
 	s.maxConns = c.MaxConns
--- a/internal/direct/timeout.go
+++ b/internal/direct/timeout.go
@@ -17,10 +17,19 @@
 	// time.
 	minCheckTimeout = 200 * time.Millisecond
 	maxCheckTimeout = 2 * time.Second
+	// tailMargin times the tail of a route's response times is how long a request may be in
+	// flight at least. The estimate of the tail may be a quarter too low or too high.
+	tailMargin = 1.5
+	// maxTailTimeout is the maximum to which the tail and the ratio extend the timeout of a
+	// service that is not saturated. Callers retransmit after 200 ms without an
+	// acknowledgement, which is evidence of its own, so that a dead target is found no later.
+	maxTailTimeout = 250 * time.Millisecond
+	// saturatedRatio is the saturation ratio above which that maximum does not apply.
+	saturatedRatio = 1.5
 )
 
 // requestTimeout returns how long a request may be in flight, without any sign of life from
-// its target, before the target is checked.
+// its target, before the target is checked; overdueTimeout extends it for routes with a goal.
 //
 // With a fixed 0.1 s every request of a slower service would trigger a check, and each check
 // takes a slot. One of 170 answers of healthy targets takes three times the baseline. At
@@ -34,6 +43,40 @@
 	return max(minRequestTimeout, time.Duration(slowFactor*b.medianTime))
 }
 
+// overdueTimeout returns how long a request of a route may be in flight, without any sign of
+// life from its target, before the target is checked. On routes with a goal this is
+// requestTimeout times the saturation ratio, and at least tailMargin times the tail of the
+// response times. Routes without a goal have requestTimeout, so that deployments that set no
+// goals are served as before.
+//
+// A request that takes long and a request in a queue are no evidence against a target, and each
+// check takes a slot. Where 3 % of the requests took seven times as long, each of these caused a
+// check, and saturated targets were checked the more often the longer their queues were.
+func (f *Forwarder) overdueTimeout(b *baseline) time.Duration {
+	usual := b.requestTimeout()
+	if f.catalogue == nil {
+		return usual
+	}
+	route := f.catalogue.Routes[b.address]
+	if route.Goal <= 0 {
+		return usual
+	}
+	ratio := 1.0
+	for _, x := range route.Backends {
+		if s := f.services[x.Service]; s != nil {
+			ratio = max(ratio, s.saturationRatio())
+		}
+	}
+	extended := time.Duration(ratio * float64(usual))
+	if b.tailSamples >= minSamples {
+		extended = max(extended, time.Duration(tailMargin*b.tailTime))
+	}
+	if ratio <= saturatedRatio {
+		extended = min(extended, max(usual, maxTailTimeout))
+	}
+	return extended
+}
+
 // CheckTimeout returns how long a check of a service's targets waits for the answer, in
 // addition to the time allowed for the connection.
 //
