Edge: openings dropped before the first catalogue are counted

Openings that arrived while 512 others waited for the first catalogue were dropped without a trace: operators saw callers retransmit to a starting balancer, and no counter had the packets.

Cause: earlyOpenings.add took them off before the forwarder, which counts drops, saw them.

--- a/internal/edge/early.go
+++ b/internal/edge/early.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"rosedale.dev/rosedale/internal/direct"
 	"rosedale.dev/rosedale/platform"
@@ -16,10 +17,11 @@
 	mu       sync.Mutex
 	closed   bool
 	openings [][]byte
+	dropped  atomic.Uint64
 }
 
 // add queues an opening packet. It returns false once the catalogue has arrived. Packets
-// beyond maxEarly are dropped.
+// beyond maxEarly are dropped and counted.
 func (o *earlyOpenings) add(packet []byte) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -28,6 +30,8 @@
 	}
 	if len(o.openings) < maxEarly {
 		o.openings = append(o.openings, append([]byte(nil), packet...))
+	} else {
+		o.dropped.Add(1)
 	}
 	return true
 }
