--- a/internal/direct/timeout.go
+++ b/internal/direct/timeout.go
@@ -20,6 +20,9 @@
 	// tailMargin times the tail of a route's response times is how long a request may be in
 	// flight at least. The estimate of the tail may be a quarter too low or too high.
 	tailMargin = 1.5
+	// longTailFactor times the median is the tail from which on a route counts as long-tailed.
+	// Where response times merely vary, the usual timeout leaves enough room.
+	longTailFactor = 4
 	// maxTailTimeout is the maximum to which the tail and the ratio extend the timeout of a
 	// service that is not saturated. Callers retransmit after 200 ms without an
 	// acknowledgement, which is evidence of its own, so that a dead target is found no later.
@@ -43,10 +46,15 @@
 	return max(minRequestTimeout, time.Duration(slowFactor*b.medianTime))
 }
 
+// hasLongTail reports whether some of the route's answers take many times as long as usual.
+func (b *baseline) hasLongTail() bool {
+	return b.tailSamples >= minSamples && b.tailTime > longTailFactor*b.medianTime
+}
+
 // overdueTimeout returns how long a request of a route may be in flight, without any sign of
 // life from its target, before the target is checked. On routes with a goal this is
-// requestTimeout times the saturation ratio, and at least tailMargin times the tail of the
-// response times. Routes without a goal have requestTimeout, so that deployments that set no
+// requestTimeout times the saturation ratio, and on a long-tailed route at least tailMargin times
+// the tail of the response times. Routes without a goal have requestTimeout, so that deployments that set no
 // goals are served as before.
 //
 // A request that takes long and a request in a queue are no evidence against a target, and each
@@ -68,7 +76,7 @@
 		}
 	}
 	extended := time.Duration(ratio * float64(usual))
-	if b.tailSamples >= minSamples {
+	if b.hasLongTail() {
 		extended = max(extended, time.Duration(tailMargin*b.tailTime))
 	}
 	if ratio <= saturatedRatio {
