direct: summarize openings and signs of life by service

Stepping back needs to know whether openings of a service find targets that answer. Counts openings by service once each, without copies, and records signs of life of targets that openings can go to, including answered checks, which change no other decision.

--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -167,12 +167,15 @@
 		c, reason = choice{target: old.target}, OpenedElsewhere
 	}
 	if c.target == nil {
-		return resetOf(s, f.refusalReason(now, svc))
+		reason = f.refusalReason(now, svc)
+		svc.countRefused(old != nil, reason)
+		return resetOf(s, reason)
 	}
 	if old != nil {
 		reason = OpenedElsewhere
 	}
 	f.countColdOpening(now, svc, c.target)
+	svc.countForwarded(old != nil)
 	f.addFlow(now, s, c.target, tried)
 	return Decision{Verb: Forward, Reason: reason, Target: &c.target.Target, SetCookie: true, Load: c.load}
 }
--- a/internal/direct/group.go
+++ b/internal/direct/group.go
@@ -1,5 +1,7 @@
 package direct
 
+import "time"
+
 // group holds the targets of one service in one data centre.
 type group struct {
 	centre  *centre
@@ -9,6 +11,7 @@
 	// this group in another one; see updateSpill.
 	spillShare float64
 	massExpiry massExpiry
+	lastAlive  time.Duration // see recordLife
 }
 
 func newGroup(c *centre) *group { return &group{centre: c, latency: latencyRatio{ratio: 1}} }
--- a/internal/direct/observe.go
+++ b/internal/direct/observe.go
@@ -149,6 +149,7 @@
 	f.lastAlive = now
 	t.lastAlive = now
 	t.clearSuspicion()
+	t.recordLife(now)
 }
 
 // expire removes flows that have been without packets for longer than their retention.
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -13,6 +13,7 @@
 	workPerFlow float64
 	normalRatio float64 // long-term average latency ratio
 	record      record  // of all requests through this balancer
+	openings    openingCounts
 }
 
 // configure applies the catalogue's settings of the service.
--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -165,6 +165,9 @@
 	}
 	if x == Alive || x.unanswered() && t.lastAlive > t.checkedAt {
 		t.clearSuspicion()
+		if x == Alive {
+			t.recordLife(now)
+		}
 		return CheckResult{}
 	}
 	f.addSuspect(t)
