edge: report not ready while the data centre cannot serve

Wires internal/stepback into each tick. A balancer is not ready if this rule or yieldIfOutnumbered says so.

While it has stepped back as no target answers, a balancer checks one target of each data centre that is not evacuated each 0.5 s. An unanswered check is no evidence against its target, as the data centre may be cut off.

In fleets of more than 16, the first balancer in rank gets no regular heartbeats from its data centre. It does not wait for one: if it stayed ready alone, routers would use all balancers.

The test harness can start balancers and targets in another data centre; present tests are unchanged.

--- a/internal/direct/mechanism.go
+++ b/internal/direct/mechanism.go
@@ -28,6 +28,7 @@
 	Alarms
 	Yield
 	StartSources
+	StepBack
 	mechanismCount
 )
 
@@ -48,6 +49,7 @@
 	Alarms:           {"alarms", "report suspicions to peers at once rather than with the next heartbeat"},
 	Yield:            {"yield", "send callers to other data centres when most balancers here are lost"},
 	StartSources:     {"start-sources", "take the first copy from a few balancers of the data centre rather than from the store"},
+	StepBack:         {"step-back", "send callers to other data centres when this one is evacuated or its balancers reach no target"},
 }
 
 // String returns the name used in settings and on the command line.
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -10,6 +10,7 @@
 	"rosedale.dev/rosedale/internal/logging"
 	"rosedale.dev/rosedale/internal/peer"
 	"rosedale.dev/rosedale/internal/replica"
+	"rosedale.dev/rosedale/internal/stepback"
 	"rosedale.dev/rosedale/platform"
 )
 
@@ -66,6 +67,7 @@
 	alarmDue       bool          // a new suspicion or a dead target has to be reported
 	alarmSent      time.Duration // when the last alarm was sent
 	outcomesSent   time.Duration // see sendOutcomesIfDue
+	stepBack       stepback.Decider
 	ticks          int
 	storeLost      bool // the last read of the store failed
 }
@@ -98,6 +100,7 @@
 
 		unregistered: map[string]bool{},
 	}
+	c.stepBack.Start(c.now())
 	return c, c.serve()
 }
 
@@ -188,6 +191,7 @@
 	c.logOutliers(outlierChanges)
 	c.checkSuspects(ctx, now)
 	c.yieldIfOutnumbered(now)
+	c.stepBackIfUseless(ctx, now)
 	if c.ticks%maintenanceTicks == 0 {
 		c.forgetUnregistered()
 		c.writeSourcesIfDue(ctx, now)
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -134,9 +134,14 @@
 }
 
 func (d *deployment) addTarget(id uint64, service string) *direct.Target {
+	d.t.Helper()
+	return d.addTargetIn(id, service, "a")
+}
+
+func (d *deployment) addTargetIn(id uint64, service, dataCenter string) *direct.Target {
 	d.t.Helper()
 	addr := netip.AddrPortFrom(address(d.net, targetNet, len(d.targets)+1), targetPort)
-	t, err := direct.NewTarget(d.store, id, addr.String(), service, "a", d.dataPort)
+	t, err := direct.NewTarget(d.store, id, addr.String(), service, dataCenter, d.dataPort)
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -145,8 +150,13 @@
 	return t
 }
 
-// start runs a balancer at an address.
+// start runs a balancer of data centre a at an address.
 func (d *deployment) start(ip netip.Addr) *balancer {
+	d.t.Helper()
+	return d.startIn(ip, "a")
+}
+
+func (d *deployment) startIn(ip netip.Addr, dataCenter string) *balancer {
 	d.t.Helper()
 	link, err := direct.NewRelay(d.store.Addr)
 	if err != nil {
@@ -155,7 +165,7 @@
 	d.t.Cleanup(link.Close)
 	b := &balancer{link: link, out: &output{}, done: make(chan error, 1)}
 	b.boot = platform.Boot{
-		VM: ip.String(), DataCenter: "a",
+		VM: ip.String(), DataCenter: dataCenter,
 		Data: netip.AddrPortFrom(ip, d.dataPort), Ready: netip.AddrPortFrom(ip, 17001), Control: netip.AddrPortFrom(ip, 17002),
 		Store: link.Addr, Heartbeat: time.Second, Grace: 4 * time.Second, Drain: 3 * time.Second, Apply: 3 * time.Second,
 		FlowMaxAge: time.Minute, MemoryMB: 100, LinkMbps: 1000,
--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -139,6 +139,7 @@
 func (c *control) leave() {
 	c.post(func() {
 		c.leaving = true
+		c.stepBack.Stop()
 		c.heartbeat(c.now())
 	})
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -17,6 +17,7 @@
 	m.Gauge("flows", func() float64 { return float64(e.flows()) })
 	m.Gauge("copy_age_seconds", func() float64 { return (e.now() - time.Duration(e.proven.Load())).Seconds() })
 	m.Gauge("store_era", func() float64 { return float64(e.control.era.Load()) })
+	m.Gauge("stepped_back", func() float64 { return float64(e.ready.stepBackReason()) })
 	n := &e.counts
 	m.Counter("socket_read_errors", n.readErrors.Load)
 	m.Counter("socket_send_errors", n.sendErrors.Load)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -76,6 +76,9 @@
 		c.peers[h.From] = p
 	}
 	p.last, p.lastReceived = h, now
+	if h.DataCenter == c.edge.boot.DataCenter {
+		c.stepBack.Heard(now)
+	}
 	c.settleFromPeer(now, h)
 	if c.isBehind(now, h, arrived) && !c.reader.Succeeding() {
 		c.fetchChanges(ctx, h.Control, h.Era, h.History)
--- a/internal/edge/ready.go
+++ b/internal/edge/ready.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"rosedale.dev/rosedale/internal/stepback"
 	"rosedale.dev/rosedale/platform"
 )
 
@@ -18,6 +19,8 @@
 	ok  atomic.Bool // this balancer can serve
 	// yielding is set if other data centres should serve; see yieldIfOutnumbered.
 	yielding atomic.Bool
+	// steppedBack is the stepback.Reason for which other data centres should serve.
+	steppedBack atomic.Uint32
 }
 
 func listenReady(e *Edge) (*ready, error) {
@@ -44,10 +47,17 @@
 func (r *ready) set(ok bool) { r.ok.Store(ok) }
 
 // isReady reports whether the routers should send packets to this balancer.
-func (r *ready) isReady() bool { return r.ok.Load() && !r.yielding.Load() }
+func (r *ready) isReady() bool {
+	return r.ok.Load() && !r.yielding.Load() && r.stepBackReason() == stepback.None
+}
 
 // setYielding sets whether other data centres should serve, and returns the previous
 // value.
 func (r *ready) setYielding(on bool) bool { return r.yielding.Swap(on) }
 
+func (r *ready) setSteppedBack(why stepback.Reason) { r.steppedBack.Store(uint32(why)) }
+
+// stepBackReason returns the reason for which this balancer has stepped back, if it has.
+func (r *ready) stepBackReason() stepback.Reason { return stepback.Reason(r.steppedBack.Load()) }
+
 func (r *ready) close() { _ = r.srv.Close() }
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -11,22 +11,23 @@
 // Status is the state of a balancer as shown to operators. Durations are encoded in
 // nanoseconds.
 type Status struct {
-	VM         string                  `json:"vm"`
-	DataCenter string                  `json:"data_center"`
-	Up         time.Duration           `json:"up"` // time since the start
-	Ready      bool                    `json:"ready"`
-	Leaving    bool                    `json:"leaving"`
-	Version    int64                   `json:"version"`  // of the catalogue in force
-	Era        int64                   `json:"era"`      // of the store, for the position
-	Position   int64                   `json:"position"` // of the replica
-	Settling   time.Duration           `json:"settling"` // remaining settling time after a restore of the store
-	Age        time.Duration           `json:"age"`      // upper bound of the replica's age
-	Reading    bool                    `json:"reading"`  // this balancer reads the store
-	StoreLost  bool                    `json:"store_lost"`
-	Flows      int                     `json:"flows"`
-	Evacuated  []direct.EvacuationInfo `json:"evacuated"`
-	Peers      []Peer                  `json:"peers"`
-	Targets    []direct.TargetInfo     `json:"targets"`
+	VM          string                  `json:"vm"`
+	DataCenter  string                  `json:"data_center"`
+	Up          time.Duration           `json:"up"` // time since the start
+	Ready       bool                    `json:"ready"`
+	Leaving     bool                    `json:"leaving"`
+	SteppedBack string                  `json:"stepped_back"` // why this balancer has stepped back, or "none"
+	Version     int64                   `json:"version"`      // of the catalogue in force
+	Era         int64                   `json:"era"`          // of the store, for the position
+	Position    int64                   `json:"position"`     // of the replica
+	Settling    time.Duration           `json:"settling"`     // remaining settling time after a restore of the store
+	Age         time.Duration           `json:"age"`          // upper bound of the replica's age
+	Reading     bool                    `json:"reading"`      // this balancer reads the store
+	StoreLost   bool                    `json:"store_lost"`
+	Flows       int                     `json:"flows"`
+	Evacuated   []direct.EvacuationInfo `json:"evacuated"`
+	Peers       []Peer                  `json:"peers"`
+	Targets     []direct.TargetInfo     `json:"targets"`
 }
 
 // Peer is another balancer as seen by this one.
@@ -51,7 +52,7 @@
 	now := c.now()
 	s := Status{
 		VM: c.edge.boot.VM, DataCenter: c.edge.boot.DataCenter, Up: now,
-		Ready: c.edge.ready.isReady(), Leaving: c.leaving, Version: c.version,
+		Ready: c.edge.ready.isReady(), Leaving: c.leaving, SteppedBack: c.edge.ready.stepBackReason().String(), Version: c.version,
 		Era: c.replica.Position().Era, Position: c.replica.Position().Number, Settling: c.settling.Left(now), Age: c.replica.Age(now), Reading: c.reader.Reading(), StoreLost: c.storeLost,
 	}
 	for name, p := range c.peers {
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -34,6 +34,7 @@
 	near           []netip.AddrPort  // other members of the own data centre
 	far            []netip.AddrPort  // members of all other data centres
 	relays         []netip.AddrPort  // first members in rank of each other data centre
+	dataCenters    map[string]int    // members by data centre
 }
 
 // NewFleet returns a fleet that contains only self.
@@ -98,6 +99,13 @@
 	return f.far
 }
 
+// DataCenters returns the number of balancers in each data centre, including this one. The
+// caller must not change the map.
+func (f *Fleet) DataCenters() map[string]int {
+	f.update()
+	return f.dataCenters
+}
+
 // Relays returns the control addresses of the relays of the other data centres.
 func (f *Fleet) Relays() []netip.AddrPort {
 	f.update()
@@ -137,8 +145,10 @@
 	slices.SortFunc(all, compareMembers)
 	ranks := localRanks(all)
 	f.near, f.far, f.relays = nil, nil, nil
+	f.dataCenters = map[string]int{}
 	ranksBefore := map[string]bool{} // by other data centre: whether it ranks before the own one
 	for _, m := range all {
+		f.dataCenters[m.DataCenter]++
 		switch {
 		case m.VM == f.self.VM:
 			f.rank = ranks[m.VM]
