--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -16,6 +16,7 @@
 	// saturation is the smoothed response time relative to normal while the service is
 	// saturated; 0 means that it is not. Nothing sets it yet; admission is to do so.
 	saturation float64
+	openings   openingCounts
 }
 
 // saturationRatio returns the factor, at least 1, by which the answers of the service take
