Admission: gate that admits, holds or rejects a service's requests

Under overload each balancer sent everything to full targets, which rejected most of it (docs/hard-load.md). internal/admission decides without network or clock which requests have a place, which wait, in order of priority, time left and arrival, and which are rejected because the measured rate cannot serve them in time.

--- /dev/null
+++ b/internal/admission/factor.go
@@ -0,0 +1,28 @@
+package admission
+
+// factor multiplies the share of the balancer's own data centre.
+type factor float64
+
+const (
+	normalFactor factor = 1
+	// minFactor: less than half of the share would leave slots idle, as two requests per slot
+	// are intended.
+	minFactor factor = 0.5
+	// maxFactor: a balancer that does not know how few its peers are reaches its real share,
+	// unless they are a quarter or less of those it counts.
+	maxFactor factor = 4
+
+	raiseBy factor = 1.1
+	lowerBy factor = 0.9
+	relaxBy factor = 0.02 // step back to normal at each tick
+)
+
+func (f factor) raise() factor { return min(f*raiseBy, maxFactor) }
+func (f factor) lower() factor { return max(f*lowerBy, minFactor) }
+
+func (f factor) relax() factor {
+	if f > normalFactor {
+		return max(f-relaxBy, normalFactor)
+	}
+	return min(f+relaxBy, normalFactor)
+}
--- /dev/null
+++ b/internal/admission/pool.go
@@ -0,0 +1,102 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// maxShare bounds shares, so that a nonsensical one does not overflow.
+	maxShare = 1 << 20
+	// roundingError is subtracted before places are rounded up, so that a product such as
+	// 6.000000001 does not add a place.
+	roundingError = 1e-6
+	// maxPause bounds the pause between requests of a share below 1. No caller waits longer.
+	maxPause = 10 * time.Second
+
+	// quickRatio is the relative response time below which targets do not queue.
+	quickRatio = 1.5
+	// slowRatio is the relative response time above which the share is reduced. Two requests
+	// per slot, which is the intended load, give about 2.
+	slowRatio = 3
+	// slowFarRatio is slowRatio for other data centres, whose own callers come first.
+	slowFarRatio = 1.8
+)
+
+// pool counts the requests in flight at the targets of one data centre.
+type pool struct {
+	share    float64 // places without the factor; 0 if the pool cannot be used
+	factor   factor
+	inFlight int
+	granted  int // places that a far pool has gained while pool 0 was full
+	pace     pace
+	speed    smoothed
+	answered bool // an answer has come since the last tick
+}
+
+func newPool() pool { return pool{factor: normalFactor, speed: newSmoothed()} }
+
+func (p *pool) usable() bool { return p.share > 0 }
+
+func (p *pool) setShare(share float64) {
+	if !(share > 0) { // also NaN
+		share = 0
+	}
+	p.share = min(share, maxShare)
+}
+
+// adjusted is the share with the factor.
+func (p *pool) adjusted() float64 { return p.share * float64(p.factor) }
+
+// places is the number of requests that may be in flight: the adjusted share, rounded up.
+func (p *pool) places() int { return int(math.Ceil(p.adjusted() - roundingError)) }
+
+// hasFree reports whether fewer than places requests are in flight and, with a share below 1,
+// the pause after the last one has ended.
+func (p *pool) hasFree(now time.Duration, places int) bool {
+	return p.inFlight < places && (p.adjusted() >= 1 || p.pace.allows(now))
+}
+
+func (p *pool) add() { p.inFlight++ }
+
+// remove frees a place. A surplus call is ignored, so that it cannot raise the limit.
+func (p *pool) remove(now time.Duration) {
+	p.inFlight = max(p.inFlight-1, 0)
+	if s := p.adjusted(); s > 0 && s < 1 {
+		p.pace.pause(now, s)
+	}
+}
+
+// isQuick reports whether the answers show that the targets do not queue. Requests in flight
+// without any answer since the last tick show nothing: the targets may be unreachable.
+func (p *pool) isQuick(now time.Duration) bool {
+	return p.speed.at(now) < quickRatio && (p.answered || p.inFlight == 0)
+}
+
+// adjustFactor follows the answers while all places are taken, and returns to normal else.
+func (p *pool) adjustFactor(now time.Duration) {
+	switch {
+	case !p.usable() || p.hasFree(now, p.places()):
+		p.factor = p.factor.relax()
+	case p.isQuick(now):
+		p.factor = p.factor.raise()
+	case p.speed.at(now) > slowRatio:
+		p.factor = p.factor.lower()
+	}
+}
+
+// adjustGranted changes the places of a far pool by its answers while pool 0 is full.
+func (p *pool) adjustGranted(now time.Duration, homeFull bool) {
+	switch {
+	case !homeFull || p.speed.at(now) > slowFarRatio:
+		p.granted -= (p.granted*farLoss + 99) / 100
+	case p.isQuick(now):
+		p.granted++
+	}
+	p.granted = min(p.granted, p.places())
+}
+
+// farLoss is the percentage of its places that a far pool loses at a tick with slow answers.
+// Places that pool 0 makes unnecessary end in the same way, because a pool 0 that is full at
+// most ticks would otherwise start from none again and again. They are not used in between.
+const farLoss = 30
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,114 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// queue lets a request wait, unless that is of no use. free says that a place is free which an
+// earlier request gets first.
+func (g *Gate[K]) queue(now time.Duration, r *Request[K], free bool) (Verdict, Pool) {
+	w := g.waiting.waiterOf(now, r)
+	if !free {
+		g.reach(now)
+		if r.Established && r.MaxWait <= 0 {
+			return Forced, g.force(now, r.Pool, r.Priority)
+		}
+		if !r.Established && g.isHopeless(now, &w) {
+			return g.reject(r.Priority), AnyPool
+		}
+	}
+	if g.waiting.full() && !g.evictFor(now, &w) {
+		if r.Established {
+			return Forced, g.force(now, r.Pool, r.Priority)
+		}
+		return g.reject(r.Priority), AnyPool
+	}
+	g.insert(now, w)
+	return Wait, AnyPool
+}
+
+func (g *Gate[K]) reject(priority int) Verdict {
+	g.stats.Rejected[level(priority)]++
+	return Reject
+}
+
+// insert adds w to the waiting requests. The rate counts from the first waiting opening.
+func (g *Gate[K]) insert(now time.Duration, w waiter[K]) {
+	if g.waiting.openings == 0 {
+		g.rate.restart(now)
+	}
+	g.waiting.insert(w)
+	g.stats.Queued[level(w.priority)]++
+	g.review = true
+}
+
+// evictFor makes room for w in a full queue: the last opening of the least urgent priority is
+// rejected. It returns false if that would be w, or if there is none.
+func (g *Gate[K]) evictFor(now time.Duration, w *waiter[K]) bool {
+	i := g.waiting.lastOpening()
+	if i < 0 || !w.established && w.compare(g.waiting.list[i].rank) > 0 {
+		return false
+	}
+	g.evicted = append(g.evicted, g.waiting.remove(i))
+	g.reach(now)
+	return true
+}
+
+// isHopeless reports whether the opening w, which arrives now, would wait too long.
+func (g *Gate[K]) isHopeless(now time.Duration, w *waiter[K]) bool {
+	s, known := g.rate.speeds(now)
+	return known && s.exceeds(g.waiting.ahead(w.rank), w.rank, now)
+}
+
+// exceeds reports whether the admission of so many requests of k's priority takes longer than
+// the time left to k's deadline.
+func (s *speeds) exceeds(ahead int, k rank, now time.Duration) bool {
+	return float64(ahead) > s[level(k.priority)]*(k.deadline-now).Seconds()
+}
+
+// hopeless returns the index of the first waiting opening that would wait too long, or -1.
+// Those behind it come closer when it is rejected.
+func (g *Gate[K]) hopeless(now time.Duration) int {
+	s, known := g.rate.speeds(now)
+	if !known {
+		return -1
+	}
+	first := 0 // of the same priority
+	for i := range g.waiting.list {
+		w := &g.waiting.list[i]
+		if w.priority != g.waiting.list[first].priority {
+			first = i
+		}
+		if !w.established && s.exceeds(i-first, w.rank, now) {
+			return i
+		}
+	}
+	return -1
+}
+
+// IsWaiting reports whether a request waits.
+func (g *Gate[K]) IsWaiting(k K) bool {
+	return !g.waiting.empty() && g.waiting.has(k) || len(g.evicted) > 0 && g.evictedAt(k) >= 0
+}
+
+// evictedAt returns the index of an evicted request, or -1.
+func (g *Gate[K]) evictedAt(k K) int {
+	return slices.IndexFunc(g.evicted, func(w waiter[K]) bool { return w.key == k })
+}
+
+// Cancel removes a waiting request whose caller has given up.
+func (g *Gate[K]) Cancel(k K) bool {
+	if i := g.evictedAt(k); i >= 0 {
+		g.evicted = slices.Delete(g.evicted, i, i+1)
+		g.stats.Canceled++
+		return true
+	}
+	rank, ok := g.waiting.index[k]
+	if !ok {
+		return false
+	}
+	g.waiting.remove(g.waiting.position(rank))
+	g.stats.Canceled++
+	return true
+}
--- /dev/null
+++ b/internal/admission/rate.go
@@ -0,0 +1,65 @@
+package admission
+
+import "time"
+
+const (
+	// rateBuckets buckets of bucketTime are the half second in which admissions are counted.
+	rateBuckets = 10
+	bucketTime  = 50 * time.Millisecond
+	// minRateTime is how long openings must have been waiting before a rate is known. Earlier
+	// admissions show the demand, not what can be served.
+	minRateTime = 100 * time.Millisecond
+	// minRateCount is the number of admissions from which a rate is known.
+	minRateCount = 4
+)
+
+// rate counts the admissions of the last half second by priority, since openings wait.
+type rate struct {
+	since   time.Duration
+	buckets [rateBuckets]bucket
+}
+
+// bucket counts the admissions in one interval of bucketTime.
+type bucket struct {
+	number int64 // of the interval since time 0
+	counts [Priorities]int
+}
+
+// restart forgets all admissions: openings have just begun to wait.
+func (r *rate) restart(now time.Duration) { *r = rate{since: now} }
+
+// add counts an admission.
+func (r *rate) add(now time.Duration, priority int) {
+	n := int64(now / bucketTime)
+	b := &r.buckets[n%rateBuckets]
+	if b.number != n {
+		*b = bucket{number: n}
+	}
+	b.counts[level(priority)]++
+}
+
+// speeds returns the rates of admission that each priority can expect, in admissions a second.
+// It returns false as long as they are not known.
+func (r *rate) speeds(now time.Duration) (speeds, bool) {
+	oldest := int64(now/bucketTime) - rateBuckets + 1
+	window := now - max(r.since, time.Duration(oldest)*bucketTime)
+	var s speeds
+	total := 0.0
+	for i := range r.buckets {
+		if r.buckets[i].number < oldest {
+			continue
+		}
+		for p, n := range r.buckets[i].counts {
+			s[p] += float64(n)
+			total += float64(n)
+		}
+	}
+	if window < minRateTime || total < minRateCount {
+		return speeds{}, false
+	}
+	s.distribute(total)
+	for p := range s {
+		s[p] /= window.Seconds()
+	}
+	return s, true
+}
