direct, edge: requests wait for a place, and saturated services are placed by speed

Under overload every balancer forwarded all openings: full targets reset connections and callers came back up to twice from new ports. Nothing decided which opening goes first.

A service that a route with a goal leads to now has a gate (internal/admission). Openings that find no place are held, released by priority, or rejected while nothing has run; requests on open flows are held and never rejected. Flows carry their place until the first acknowledgement of the answer, their end, or 2 s. While the gate is saturated, targets are chosen in the balancer's arc (internal/subset) by measured speed (internal/speed), and response times are not learnt as normal. edge keeps held packets in a store bounded at 4,096 packets and 2 MiB, and considers releases after each packet, each tick and, while packets are held, every 5 ms: with 100 ms, a balancer with a share below one place delayed each opening by a tick. It learns its peers as soon as their registrations are applied rather than with the next tick.

Without a goal in the catalogue nothing changes; -without admission and -without speed-placement turn the parts off.

--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -18,7 +18,7 @@
 )
 
 // purePackages make decisions without access to sockets, files, clocks and logs.
-var purePackages = []string{"balance", "catalogue", "converge", "direct", "flow", "geneve", "member", "packet", "readfail", "rendezvous", "replica", "revision", "router", "slowstart", "wire"}
+var purePackages = []string{"admission", "balance", "catalogue", "converge", "direct", "flow", "geneve", "member", "packet", "readfail", "rendezvous", "replica", "revision", "router", "slowstart", "speed", "subset", "wire"}
 
 // forbiddenImports lists what pure packages must not import.
 var forbiddenImports = map[string]bool{
--- a/internal/direct/coldlimit.go
+++ b/internal/direct/coldlimit.go
@@ -6,11 +6,13 @@
 	"rosedale.dev/rosedale/internal/slowstart"
 )
 
-// SetBalancers sets the names of the balancers that share the opening rate of the cold
-// targets in this data centre: this one and the others.
+// SetBalancers sets the names of the balancers of this data centre: this one and the others.
+// They share the opening rate of its cold targets and the places of all services.
 func (f *Forwarder) SetBalancers(self string, others []string) {
 	f.owners = slowstart.NewOwners(self, others)
 	f.fleetVersion++
+	f.position = fleetPositionOf(self, others)
+	f.expireAllShares()
 }
 
 // limitsOpenings reports whether the target is warming up and its service limits the rate of
@@ -36,6 +38,12 @@
 	return t.coldLimit.Allows(now)
 }
 
+// mayOpenCold reports whether this balancer may open flows at a target at all, if that is
+// warming up.
+func (f *Forwarder) mayOpenCold(now time.Duration, s *service, t *target) bool {
+	return f.withinColdLimit(now, s, t) || t.DataCenter == f.dataCenter && t.coldLimit.Owned()
+}
+
 // countColdOpening counts a flow opened at a target against the target's cold limit.
 func (f *Forwarder) countColdOpening(now time.Duration, s *service, t *target) {
 	if t.limitsOpenings(now, s) && t.limitVersion == f.fleetVersion {
--- a/internal/direct/dead.go
+++ b/internal/direct/dead.go
@@ -15,6 +15,7 @@
 		return nil
 	}
 	t.dead = true
+	t.expireShares()
 	t.callersWaited = t.stalls > 0
 	t.endedAt = now
 	f.times.Detected(now - t.lastAlive)
--- a/internal/direct/evacuation.go
+++ b/internal/direct/evacuation.go
@@ -42,6 +42,7 @@
 		c.evacuation = &evacuation{since: now}
 	}
 	c.evacuation.revision = rev
+	f.expireAllShares()
 }
 
 // TakeBack ends an evacuation.
@@ -52,6 +53,7 @@
 func (f *Forwarder) TakeBack(now time.Duration, dataCenter string) {
 	c := f.centreOf(dataCenter)
 	c.evacuation = nil
+	f.expireAllShares()
 	for _, t := range f.targets {
 		if s := f.service(t.Service); t.centre == c && s.coldRate > 0 && !f.without.Has(ColdStarts) {
 			t.coldUntil = max(t.coldUntil, now+s.coldFor)
--- a/internal/direct/flow.go
+++ b/internal/direct/flow.go
@@ -21,6 +21,8 @@
 	maxEnd      uint32        // end of the caller's data so far
 	maxAck      uint32        // highest acknowledgement of the target's data
 	answer      pendingAnswer
+	place       place
+	held        *held // packets that wait for a place
 }
 
 // after reports whether sequence number a comes after b, allowing for wraparound.
--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -60,8 +60,18 @@
 	owners          slowstart.Owners
 	fleetVersion    int // number of SetBalancers calls
 	outcomes        outcomeTracker
-	times           Times
-	without         MechanismSet
+
+	clock    time.Duration // latest time passed to Handle, Tick or Releases
+	position fleetPosition
+	gates    []*serviceGate // of all services that have one, in the order of creation
+	held     map[FlowKey]*held
+	due      []Release // for the next call of Releases
+	released []Release // result of the last one
+	arcIDs   []uint64  // buffer of arcOf
+	below    []*target // buffer of soonest
+
+	times   Times
+	without MechanismSet
 }
 
 // New returns a Forwarder without catalogue and targets.
@@ -88,6 +98,8 @@
 		openingTime:          initialOpeningTime,
 		flowSpread:           1,
 		outcomes:             newOutcomeTracker(),
+		position:             fleetPosition{rank: int(mix(c.Seed) % unknownFleet), balancers: unknownFleet},
+		held:                 map[FlowKey]*held{},
 		times:                c.Times,
 		without:              c.Without,
 	}
@@ -105,6 +117,7 @@
 
 // Handle returns the decision on a caller's packet.
 func (f *Forwarder) Handle(now time.Duration, s *Segment) Decision {
+	f.clock = now
 	f.checkOverdue(now)
 	d := f.decide(now, s)
 	f.counts[d.Reason]++
@@ -158,10 +171,16 @@
 		}
 		f.recordStall(now, old)
 	}
+	if h := f.heldOpening(s); h != nil {
+		return f.handleCopy(now, h, s)
+	}
 	svc := f.drawBackend(r, s)
 	if svc == nil {
 		return resetOf(s, ResetNoTarget)
 	}
+	if g := svc.gate; g != nil && g.active && old == nil {
+		return f.admitOpening(now, s, r, g)
+	}
 	c, reason := f.place(now, svc, tried)
 	if c.target == nil && old != nil && !old.target.evacuated() {
 		c, reason = choice{target: old.target}, OpenedElsewhere
@@ -169,11 +188,18 @@
 	if c.target == nil {
 		return resetOf(s, f.refusalReason(now, svc))
 	}
+	var p place
 	if old != nil {
 		reason = OpenedElsewhere
+		p = old.detachPlace()
 	}
+	return f.open(now, s, svc, c, reason, tried, p)
+}
+
+// open forwards an opening to its chosen target. p is the place of the flow, if it has one.
+func (f *Forwarder) open(now time.Duration, s *Segment, svc *service, c choice, reason Reason, tried [2]TargetID, p place) Decision {
 	f.countColdOpening(now, svc, c.target)
-	f.addFlow(now, s, c.target, tried)
+	f.attachPlace(f.addFlow(now, s, c.target, tried), p)
 	return Decision{Verb: Forward, Reason: reason, Target: &c.target.Target, SetCookie: true, Load: c.load}
 }
 
@@ -212,6 +238,9 @@
 func (f *Forwarder) handleFollowing(now time.Duration, s *Segment) Decision {
 	fl := f.flows[s.Flow()]
 	t, reason := f.targetOf(fl, s)
+	if len(f.held) > 0 && (t != nil || s.Flags.Has(RST)) {
+		f.cancelOpening(s.Flow())
+	}
 	if t == nil {
 		return f.handleUnknown(now, s)
 	}
@@ -219,8 +248,23 @@
 		fl = f.adopt(now, s, t)
 	}
 	if fl != nil {
+		if s.Len > 0 || fl.held != nil {
+			d, held := f.holdRequest(now, fl, s)
+			switch {
+			case held:
+				return d
+			case d.Reason == ForwardedForced:
+				reason = d.Reason
+			}
+		}
 		f.observe(now, fl, s)
 	}
+	return f.forwardFollowing(now, t, fl, s, reason)
+}
+
+// forwardFollowing forwards a packet of an open flow unless its target has ended. fl is nil if
+// the flow table is full.
+func (f *Forwarder) forwardFollowing(now time.Duration, t *target, fl *flow, s *Segment, reason Reason) Decision {
 	first := now
 	if fl != nil {
 		first = fl.firstSeen
--- a/internal/direct/group.go
+++ b/internal/direct/group.go
@@ -1,5 +1,11 @@
 package direct
 
+import (
+	"time"
+
+	"rosedale.dev/rosedale/internal/admission"
+)
+
 // group holds the targets of one service in one data centre.
 type group struct {
 	centre  *centre
@@ -9,9 +15,17 @@
 	// this group in another one; see updateSpill.
 	spillShare float64
 	massExpiry massExpiry
+
+	service *service
+	pool    admission.Pool // number of the group at the service's gate
+	share   float64        // of this balancer, in requests in flight; see updateShares
+	arc     arc
+	arcAt   time.Duration // serviceGate.sharedAt of the arc
 }
 
-func newGroup(c *centre) *group { return &group{centre: c, latency: latencyRatio{ratio: 1}} }
+func newGroup(s *service, c *centre, p admission.Pool) *group {
+	return &group{service: s, pool: p, centre: c, latency: latencyRatio{ratio: 1}}
+}
 
 // group returns the service's group in a data centre and creates it if needed.
 func (s *service) group(c *centre) *group {
@@ -23,7 +37,7 @@
 			return g
 		}
 	}
-	g := newGroup(c)
+	g := newGroup(s, c, admission.Pool(len(s.far)+1))
 	s.far = append(s.far, g)
 	return g
 }
--- a/internal/direct/inspect.go
+++ b/internal/direct/inspect.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"rosedale.dev/rosedale/internal/admission"
 )
 
 // TargetInfo is one balancer's view of a target, for operators.
@@ -25,7 +27,10 @@
 	Good       float64       `json:"good"`     // recent requests, see Outcome
 	Bad        float64       `json:"bad"`
 	PeerBad    float64       `json:"peer_bad"`
-	Extra      float64       `json:"extra"` // part of Load added for failed requests
+	Extra      float64       `json:"extra"`  // part of Load added for failed requests
+	Places     int           `json:"places"` // requests in flight through this balancer that hold a place
+	Arc        bool          `json:"arc"`    // among the targets used while the service is saturated
+	Speed      float64       `json:"speed"`  // response time relative to the usual one; 0 without a gate
 }
 
 // Targets returns all targets, sorted by service and identifier.
@@ -47,7 +52,16 @@
 		Load: t.load(now, f.service(t.Service).workPerFlow), Silence: now - t.lastAlive, Repeats: t.stalls,
 		Finding: t.finding.String(), Eligible: t.eligible(now) && !t.evacuated(),
 		Good: t.record.Good, Bad: t.record.Bad, PeerBad: t.peerOutcome.Bad, Extra: t.extraLoad,
+		Places: t.places, Arc: t.inArc(), Speed: t.speed(now),
+	}
+}
+
+// speed returns the measured speed of a target of a service with a gate, or 0.
+func (t *target) speed(now time.Duration) float64 {
+	if g := t.activeGate(); g != nil {
+		return g.speeds.Ratio(now, uint64(t.ID))
 	}
+	return 0
 }
 
 // state returns the first applicable reason why a target is not used normally, or "ready".
@@ -86,6 +100,47 @@
 	State   string       `json:"state"`   // of that target
 	Outcome string       `json:"outcome"` // decision on the next packet, or on an opening
 	Choices []TargetInfo `json:"choices"` // all targets of the route's services
+	Gates   []GateInfo   `json:"gates"`   // of the route's services that have one
+}
+
+// GateInfo is the state of the gate of a service, for operators.
+type GateInfo struct {
+	Service   string     `json:"service"`
+	Saturated bool       `json:"saturated"` // a limit was reached recently
+	Ratio     float64    `json:"ratio"`     // response time in this data centre relative to normal
+	Factor    float64    `json:"factor"`    // on this balancer's share
+	Waiting   int        `json:"waiting"`   // openings and requests
+	Pools     []PoolInfo `json:"pools"`
+}
+
+// PoolInfo describes the places at a service's targets in one data centre.
+type PoolInfo struct {
+	DataCenter string  `json:"data_center"`
+	Share      float64 `json:"share"`
+	Places     int     `json:"places"`
+	InFlight   int     `json:"in_flight"`
+	ArcLimit   int     `json:"arc_limit"` // requests in flight at a target while the service is saturated
+}
+
+// Gates returns the state of all gates that limit requests, in the order of their creation.
+func (f *Forwarder) Gates(now time.Duration) []GateInfo {
+	var out []GateInfo
+	for _, g := range f.gates {
+		if g.active {
+			out = append(out, g.info(now))
+		}
+	}
+	return out
+}
+
+func (g *serviceGate) info(now time.Duration) GateInfo {
+	st := g.Stats()
+	out := GateInfo{Service: g.name, Saturated: g.Saturated(now), Ratio: g.Ratio(now), Factor: st.Factor, Waiting: g.waiting}
+	for i, p := range st.Pools {
+		gr := g.service.groupOf(admission.Pool(i))
+		out.Pools = append(out.Pools, PoolInfo{gr.centre.name, p.Share, p.Places, p.InFlight, gr.arc.limit})
+	}
+	return out
 }
 
 // Explain explains how a flow would be handled now. It changes no decision: an opening gets the
@@ -106,6 +161,9 @@
 	for _, b := range r.Backends {
 		if s := f.services[b.Service]; s != nil {
 			s.each(func(t *target) { x.Choices = append(x.Choices, f.info(now, t)) })
+			if s.gate != nil && s.gate.active {
+				x.Gates = append(x.Gates, s.gate.info(now))
+			}
 		}
 	}
 	if fl := f.flows[k]; fl != nil {
@@ -113,11 +171,18 @@
 		x.Target = fl.target.ID.String()
 		x.State = fl.target.state(now)
 		x.Outcome = Forwarded.String()
+		if fl.held != nil {
+			x.Outcome = HeldRequest.String()
+		}
 		if reason, ended := f.resetReason(now, fl.target, k, fl.firstSeen); ended {
 			x.Outcome = reason.String()
 		}
 		return x
 	}
+	if f.held[k] != nil {
+		x.Outcome = HeldOpening.String()
+		return x
+	}
 	x.Outcome = f.explainOpening(now, r, k)
 	return x
 }
@@ -131,9 +196,35 @@
 	if svc == nil {
 		return ResetNoTarget.String()
 	}
-	c, reason := f.place(now, svc, [2]TargetID{})
+	c, reason := f.explainChoice(now, svc)
+	if reason == HeldOpening {
+		return reason.String()
+	}
 	if c.target == nil {
 		return f.refusalReason(now, svc).String()
 	}
 	return reason.String() + " " + c.target.ID.String()
 }
+
+// explainChoice returns the target of an opening, or HeldOpening if it would wait or be
+// rejected.
+func (f *Forwarder) explainChoice(now time.Duration, s *service) (choice, Reason) {
+	g := s.gate
+	switch {
+	case g == nil || !g.active:
+		return f.place(now, s, [2]TargetID{})
+	case g.waiting > 0 || g.isFull():
+		return choice{}, HeldOpening
+	}
+	return f.placeAdmitted(now, g, 0)
+}
+
+// isFull reports whether all places of the gate are taken.
+func (g *serviceGate) isFull() bool {
+	places, inFlight := 0, 0
+	for _, p := range g.Stats().Pools {
+		places += p.Places
+		inFlight += min(p.InFlight, p.Places)
+	}
+	return places > 0 && inFlight >= places
+}
--- a/internal/direct/latency.go
+++ b/internal/direct/latency.go
@@ -44,7 +44,8 @@
 	r.at = now
 }
 
-// recordLatency records the response time of a request whose answer has begun.
+// recordLatency records the response time of a request whose answer has begun. The normal ratio
+// is not learnt while the service is saturated, as the targets' queues are full then.
 func (f *Forwarder) recordLatency(now time.Duration, fl *flow) {
 	b := f.baselineOf(fl.key.Address)
 	if fl.answer.took > 0 || b.samples < minSamples {
@@ -52,6 +53,12 @@
 	}
 	ratio := float64(now-fl.answer.began) / b.longTermTime
 	fl.target.group.latency.add(now, ratio)
-	s := f.service(fl.target.Service)
+	s := fl.target.group.service
+	if g := fl.target.activeGate(); g != nil {
+		g.Answered(now, fl.target.group.pool, ratio/s.normalRatio)
+		if g.Saturated(now) {
+			return
+		}
+	}
 	s.normalRatio += normalRatioWeight * (ratio - s.normalRatio)
 }
--- a/internal/direct/mechanism.go
+++ b/internal/direct/mechanism.go
@@ -28,6 +28,8 @@
 	Alarms
 	Yield
 	StartSources
+	Admission
+	SpeedPlacement
 	mechanismCount
 )
 
@@ -48,6 +50,8 @@
 	Alarms:           {"alarms", "report suspicions to peers at once rather than with the next heartbeat"},
 	Yield:            {"yield", "send callers to other data centres when most balancers here are lost"},
 	StartSources:     {"start-sources", "take the first copy from a few balancers of the data centre rather than from the store"},
+	Admission:        {"admission", "let requests wait or reject them while a service with a goal has too few slots"},
+	SpeedPlacement:   {"speed-placement", "choose by measured speed among a few targets while a service is saturated"},
 }
 
 // String returns the name used in settings and on the command line.
--- a/internal/direct/observe.go
+++ b/internal/direct/observe.go
@@ -10,11 +10,11 @@
 	endedRetention = 2 * time.Second
 )
 
-// addFlow adds the flow of an opening to the table, unless that is full.
-func (f *Forwarder) addFlow(now time.Duration, s *Segment, t *target, tried [2]TargetID) {
+// addFlow adds the flow of an opening to the table. It returns nil if that is full.
+func (f *Forwarder) addFlow(now time.Duration, s *Segment, t *target, tried [2]TargetID) *flow {
 	f.forget(s.Flow())
 	if len(f.flows) >= f.maxFlows {
-		return
+		return nil
 	}
 	fl := &flow{key: s.Flow(), target: t, triedTargets: tried, firstSeen: now, lastSeen: now, requestedAt: now, maxEnd: s.Seq + 1}
 	// A request follows the opening, so the target counts as busy with it until the caller's
@@ -24,6 +24,7 @@
 	f.pendingOpenings.push(fl, now)
 	f.busyRequests.push(fl, now)
 	f.flows[fl.key] = fl
+	return fl
 }
 
 // adopt adds an open flow that is not in the table, mostly one that another balancer opened. It
@@ -45,6 +46,10 @@
 		return
 	}
 	f.endBusy(fl)
+	f.abandonPlace(fl)
+	if fl.held != nil {
+		f.cancelHeld(k, fl.held)
+	}
 	fl.removed = true
 	if fl.open && !fl.ended {
 		fl.target.flows--
@@ -66,19 +71,7 @@
 	if !fl.open {
 		f.confirmOpening(now, fl, s)
 	}
-	if s.Flags.Has(ACK) && after(s.Ack, fl.maxAck) {
-		fl.maxAck = s.Ack
-		if fl.pending {
-			f.times.Answered(now - fl.requestedAt)
-		}
-		if fl.answer.open {
-			f.recordLatency(now, fl)
-			fl.answer.acknowledge(now)
-		}
-		fl.pending = false
-		f.endBusy(fl)
-		f.recordAck(now, fl.target, s)
-	}
+	f.observeAck(now, fl, s)
 	end := s.Seq + uint32(s.Len)
 	switch {
 	case s.Len > 0 && after(end, fl.maxEnd):
@@ -96,6 +89,25 @@
 	}
 }
 
+// observeAck updates a flow from the acknowledgement of a packet.
+func (f *Forwarder) observeAck(now time.Duration, fl *flow, s *Segment) {
+	if !s.Flags.Has(ACK) || !after(s.Ack, fl.maxAck) {
+		return
+	}
+	fl.maxAck = s.Ack
+	if fl.pending {
+		f.times.Answered(now - fl.requestedAt)
+		f.completePlace(now, fl, now-fl.requestedAt)
+	}
+	if fl.answer.open {
+		f.recordLatency(now, fl)
+		fl.answer.acknowledge(now)
+	}
+	fl.pending = false
+	f.endBusy(fl)
+	f.recordAck(now, fl.target, s)
+}
+
 // recordAck takes an acknowledgement of the target's data as a sign of life, if the packet
 // carries no data.
 //
@@ -115,6 +127,7 @@
 	f.endBusy(fl)
 	if t := f.cookies[s.Cookie]; t != nil {
 		fl.target = t
+		fl.followTarget()
 	}
 	if fl.triedTargets == [2]TargetID{} {
 		f.recordOpeningTime(now - fl.requestedAt)
@@ -127,6 +140,7 @@
 }
 
 func (f *Forwarder) countRequest(now time.Duration, fl *flow) {
+	f.takePlace(now, fl)
 	fl.requestedAt = now
 	fl.pending = true
 	f.baselineOf(fl.key.Address).pendingRequests.push(fl, now)
@@ -139,6 +153,7 @@
 
 func (f *Forwarder) closeFlow(fl *flow) {
 	f.endBusy(fl)
+	f.abandonPlace(fl)
 	if !fl.ended {
 		fl.ended = true
 		fl.target.flows--
--- a/internal/direct/reason.go
+++ b/internal/direct/reason.go
@@ -1,9 +1,12 @@
 package direct
 
+import "time"
+
 // Reason says why a packet was handled as it was. Each reason has a counter.
 type Reason uint8
 
-// The reasons: first those to forward, then those to reset, then those to drop.
+// The reasons: first those to forward, then those to reset, those to drop and those of requests
+// that wait.
 const (
 	OpenedNear      Reason = iota // opening to a target in this data centre
 	OpenedFar                     // opening to another data centre: more room there, or no target available here
@@ -19,16 +22,23 @@
 	ResetRestarted                // the flow's target has restarted
 	ResetEvacuated                // only targets in evacuated data centres could take the opening
 	ResetCold                     // only cold targets at their limit could take the opening
+	ResetOverload                 // the opening could not be served within its goal
 	DroppedMalformed
 	DroppedReset // a caller's reset that cannot be forwarded
 	DroppedWait  // the flow's target is unknown, but may become known
+	// DroppedWaiting is the reason for a copy of a packet that waits, and for a waiting packet
+	// whose caller has given up.
+	DroppedWaiting
+	HeldOpening     // the opening waits for a place
+	HeldRequest     // the request on an open flow waits for a place
+	ForwardedForced // request on an open flow that got no place in time
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"opened_near", "opened_far", "opened_evacuated", "opened_elsewhere", "forwarded", "forwarded_known",
-	"reset_no_route", "reset_no_target", "reset_gone", "reset_silent", "reset_unknown", "reset_restarted", "reset_evacuated", "reset_cold",
-	"dropped_malformed", "dropped_reset", "dropped_wait",
+	"reset_no_route", "reset_no_target", "reset_gone", "reset_silent", "reset_unknown", "reset_restarted", "reset_evacuated", "reset_cold", "reset_overload",
+	"dropped_malformed", "dropped_reset", "dropped_wait", "dropped_waiting", "held_opening", "held_request", "forwarded_forced",
 }
 
 // String returns the name used in counters and logs.
@@ -54,6 +64,7 @@
 	Drop Verb = iota
 	Forward
 	Reset
+	Hold // keep the packet until Releases returns its flow
 )
 
 // Decision is the action to take on one packet, and its reason.
@@ -68,4 +79,5 @@
 	// version. Both are inputs of the decision, for the log.
 	Load    float64
 	Version int64
+	Waited  time.Duration // how long the packet was held
 }
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -58,6 +58,10 @@
 	size := fl.maxAck - a.from
 	outcome := b.classify(a.took, size)
 	f.recordAnswer(now, fl.target, outcome)
+	f.recordSpeed(now, fl.target, b, outcome, a.took)
+	if b.samples >= minSamples && fl.target.group.service.saturated(now) {
+		return // queues are full; the normal response times are not learnt from them
+	}
 	if size > 1 {
 		b.learn(a.took, size)
 	}
@@ -66,6 +70,22 @@
 	}
 }
 
+// failedSpeed is the relative response time that a request without a useful answer counts as,
+// so that fast failures do not look like speed.
+const failedSpeed = 5
+
+// recordSpeed records the response time of a request for the choice among unequal targets.
+func (f *Forwarder) recordSpeed(now time.Duration, t *target, b *baseline, a Answer, took time.Duration) {
+	g := t.activeGate()
+	switch {
+	case g == nil:
+	case a == AnswerNone || a == AnswerShort:
+		g.speeds.Answered(now, uint64(t.ID), failedSpeed)
+	case b.samples >= minSamples:
+		g.speeds.Answered(now, uint64(t.ID), float64(took)/b.longTermTime)
+	}
+}
+
 // finishOverdue finishes requests whose answer has not begun or not progressed within the
 // route's answer timeout.
 func (f *Forwarder) finishOverdue(now time.Duration) {
--- a/internal/direct/restart.go
+++ b/internal/direct/restart.go
@@ -22,6 +22,9 @@
 func (f *Forwarder) restart(now time.Duration, old *target, t Target) (*target, []Segment) {
 	delete(f.targets, old.ID)
 	f.releaseTarget(old)
+	if g := old.group.service.gate; g != nil {
+		g.speeds.Forget(uint64(old.ID))
+	}
 	x := f.addTarget(now, t)
 	x.startRevision = t.Revision
 	x.cookieTaken = old.cookieTaken
@@ -54,6 +57,7 @@
 // moveFlow assigns a flow to another start of its target.
 func (f *Forwarder) moveFlow(fl *flow, x *target) {
 	fl.target = x
+	fl.followTarget()
 	if fl.open && !fl.ended {
 		x.flows++
 	}
--- a/internal/direct/segment.go
+++ b/internal/direct/segment.go
@@ -44,12 +44,17 @@
 	return cmp.Or(k.Caller.Compare(o.Caller), k.Address.Compare(o.Address))
 }
 
-// hash returns a uniformly distributed hash of the flow; the last step is that of splitmix64.
+// hash returns a uniformly distributed hash of the flow.
 func (k FlowKey) hash() uint64 {
 	a, b := k.Caller.Addr().As4(), k.Address.Addr().As4()
 	x := uint64(a[0])<<56 | uint64(a[1])<<48 | uint64(a[2])<<40 | uint64(a[3])<<32 |
 		uint64(b[0])<<24 | uint64(b[1])<<16 | uint64(b[2])<<8 | uint64(b[3])
 	x ^= uint64(k.Caller.Port())<<17 ^ uint64(k.Address.Port())<<41
+	return mix(x)
+}
+
+// mix maps numbers to uniformly distributed ones; it is the last step of splitmix64.
+func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -11,8 +11,9 @@
 	coldRate float64
 	// workPerFlow is the average number of slots that an open flow keeps busy.
 	workPerFlow float64
-	normalRatio float64 // long-term average latency ratio
-	record      record  // of all requests through this balancer
+	normalRatio float64      // long-term average latency ratio
+	record      record       // of all requests through this balancer
+	gate        *serviceGate // nil until a route with a goal leads to the service
 }
 
 // configure applies the catalogue's settings of the service.
--- a/internal/direct/spill.go
+++ b/internal/direct/spill.go
@@ -41,6 +41,8 @@
 // requests from 646 to 57 of 52,981 and refused ones from 108 to none. In simulated time,
 // 1.000 instead of 0.963 of the requests meet their goal with 60 balancers per data centre
 // (TestFullDataCentreSpills).
+//
+// While the service's gate is saturated, the gate's pools decide instead, and the shares end.
 func (f *Forwarder) updateSpill(now time.Duration) {
 	for _, s := range f.services {
 		near := s.near.latency.current(now, s.normalRatio)
@@ -49,7 +51,7 @@
 			sum += g.spillShare
 		}
 		for _, g := range s.far {
-			full := near > spillRatio*s.normalRatio && near > spillMargin*g.latency.current(now, s.normalRatio)
+			full := !s.saturated(now) && near > spillRatio*s.normalRatio && near > spillMargin*g.latency.current(now, s.normalRatio)
 			switch {
 			case full && g.centre.evacuation == nil && len(g.targets) > 0:
 				step := min(g.spillIncrease(now), max(maxSpillShare-sum, 0))
--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -51,12 +51,18 @@
 	}
 	t.stalls++
 	if t.stalls >= suspectStalls && now-f.lastAlive < aliveWindow {
-		t.avoidUntil = now + suspicionTime
+		t.suspect(now)
 	}
 	f.addSuspect(t)
 	f.checksDue = true
 }
 
+// suspect keeps new flows away from a target for a while.
+func (t *target) suspect(now time.Duration) {
+	t.avoidUntil = now + suspicionTime
+	t.expireShares()
+}
+
 // addSuspect makes TargetsToCheck consider a target.
 func (f *Forwarder) addSuspect(t *target) { f.suspects[t] = true }
 
@@ -174,7 +180,7 @@
 	if x == Hung {
 		t.failedChecks = max(t.failedChecks, confirmChecks) // a hung check takes as long as two others
 	}
-	t.avoidUntil = now + suspicionTime
+	t.suspect(now)
 	switch {
 	case x == Restarted:
 		// The next registration decides which flows are lost.
@@ -241,7 +247,7 @@
 		return false
 	}
 	isNew := now >= t.avoidUntil
-	t.avoidUntil = now + suspicionTime
+	t.suspect(now)
 	t.peerSuspected = true
 	if t.flows > 0 && t.failedChecks == 0 && now-t.checkedAt > checkPause {
 		t.failedChecks = 1
--- a/internal/direct/targetstate.go
+++ b/internal/direct/targetstate.go
@@ -26,6 +26,7 @@
 	flows    int // open flows through this balancer
 	busy     int // requests in flight through this balancer
 	peerLoad Load
+	places   int // flows through this balancer that hold a place; see place
 
 	record      record  // of requests through this balancer
 	peerOutcome Outcome // of requests through peers, as reported
@@ -119,6 +120,9 @@
 
 // clearSuspicion resets all evidence against the target.
 func (t *target) clearSuspicion() {
+	if t.dead || t.avoidUntil > 0 {
+		t.expireShares()
+	}
 	t.stalls = 0
 	t.overdue = false
 	t.avoidUntil = 0
--- a/internal/direct/update.go
+++ b/internal/direct/update.go
@@ -21,6 +21,7 @@
 		f.service(name).configure(s)
 	}
 	f.dropBaselines()
+	f.configureGates()
 	for k := range f.routelessFlows {
 		if _, ok := c.Routes[k.Address]; ok {
 			delete(f.routelessFlows, k)
@@ -73,6 +74,7 @@
 	x.Target = t
 	x.departed, x.left, x.checkWanted, x.invalid = false, false, false, false
 	x.group.massExpiry.stale = true
+	x.expireShares()
 	if !f.without.Has(ColdStarts) {
 		x.coldUntil = now + t.ColdLeft
 	}
@@ -92,10 +94,13 @@
 	x.centre = f.centreOf(x.DataCenter)
 	x.group = f.service(x.Service).group(x.centre)
 	x.group.targets = append(x.group.targets, x)
+	x.expireShares()
 }
 
 func (f *Forwarder) leaveGroup(x *target) {
 	x.group.targets = slices.DeleteFunc(x.group.targets, func(o *target) bool { return o == x })
+	x.group.arc = arc{} // another start of the target may have the same identifier
+	x.expireShares()
 }
 
 // DisableTarget records that a target's registration has become invalid. The target gets no
@@ -107,6 +112,7 @@
 func (f *Forwarder) DisableTarget(id TargetID) {
 	if x := f.targets[id]; x != nil {
 		x.invalid = true
+		x.expireShares()
 		return
 	}
 	f.invalidRegistrations[id.Cookie()] = id
@@ -143,6 +149,7 @@
 	x.endedAt = now
 	x.left = x.Draining
 	x.group.massExpiry.stale = true
+	x.expireShares()
 	if x.uncheckedSinceExpiry() && x.flows > 0 {
 		f.requestCheck(x)
 	}
@@ -151,10 +158,12 @@
 // Tick runs periodic work: timeouts, scores, spill shares, and the removal of old flows and
 // targets. It is to be called about every 100 ms.
 func (f *Forwarder) Tick(now time.Duration) {
+	f.clock = now
 	f.checkOverdue(now)
 	f.finishOverdue(now)
 	f.updateScores(now)
 	f.updateSpill(now)
+	f.tickGates(now)
 	if now < f.nextSweep {
 		return
 	}
@@ -228,7 +237,8 @@
 func (f *Forwarder) service(name string) *service {
 	s := f.services[name]
 	if s == nil {
-		s = &service{workPerFlow: initialWorkPerFlow, near: newGroup(f.centreOf(f.dataCenter)), normalRatio: 1}
+		s = &service{workPerFlow: initialWorkPerFlow, normalRatio: 1}
+		s.near = newGroup(s, f.centreOf(f.dataCenter), 0)
 		f.services[name] = s
 	}
 	return s
--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -54,6 +54,8 @@
 	for _, i := range members {
 		c.applyMember(i)
 	}
+	// Until it knows the other balancers, the forwarder uses a small share of the targets.
+	c.updateFleet()
 }
 
 // applyCatalogue puts a version of the catalogue into force.
@@ -82,6 +84,7 @@
 	c.edge.mu.Lock()
 	c.edge.forward.SetCatalogue(cat)
 	c.edge.mu.Unlock()
+	c.edge.gates.update()
 	c.log.Info("catalogue in force", zap.Int64("version", cat.Version), zap.Int64("before", c.version),
 		c.revision(i), zap.String("source", source), zap.Int("routes", len(cat.Routes)))
 	c.version = cat.Version
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -20,6 +20,10 @@
 	// maintenanceTicks is the interval, in ticks, of the line that reports the number of
 	// omitted log lines, and of other infrequent work.
 	maintenanceTicks = 10
+	// releaseInterval is the interval at which held packets are considered for release in
+	// addition to each packet and tick, while there are any. It bounds the delay of waits that
+	// end without a packet: pauses between the requests of small shares, and longest waits.
+	releaseInterval = 5 * time.Millisecond
 	// eventQueue is the capacity of the queue of the control goroutine. Heartbeats that
 	// do not fit are dropped, as the next one repeats their content.
 	eventQueue = 256
@@ -38,6 +42,7 @@
 
 	events   chan func()
 	checkNow chan struct{} // signalled when a target has become due for a check
+	heldNow  chan struct{} // signalled when packets are held after a time without any
 
 	replica       *replica.Replica
 	packer        peer.Packer
@@ -90,6 +95,7 @@
 		fetch:     newFetchClient(),
 		events:    make(chan func(), eventQueue),
 		checkNow:  make(chan struct{}, 1),
+		heldNow:   make(chan struct{}, 1),
 		replica:   replica.New(platform.Significant),
 		fleet:     peer.NewFleet(e.member()),
 		peers:     map[string]*peerState{},
@@ -127,6 +133,8 @@
 	go c.lookUpSources(c.firstCopyCtx)
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
+	release := time.NewTimer(releaseInterval)
+	defer release.Stop()
 	c.tick(ctx)
 	for {
 		select {
@@ -136,6 +144,12 @@
 			f()
 		case <-c.checkNow:
 			c.checkSuspects(ctx, c.now())
+		case <-c.heldNow:
+			release.Reset(releaseInterval)
+		case <-release.C:
+			if c.releaseHeld() {
+				release.Reset(releaseInterval)
+			}
 		case <-t.C:
 			c.tick(ctx)
 		}
@@ -184,7 +198,9 @@
 	e.forward.SetPeerOutcomes(c.peerOutcomes(now), len(c.fleet.Near())+1)
 	e.forward.Tick(now)
 	outlierChanges := e.forward.OutlierChanges()
+	released := e.takeReleased(now)
 	e.mu.Unlock()
+	e.packets.sendReleased(now, released)
 	c.logOutliers(outlierChanges)
 	c.checkSuspects(ctx, now)
 	c.yieldIfOutnumbered(now)
--- a/internal/edge/counts.go
+++ b/internal/edge/counts.go
@@ -12,4 +12,5 @@
 	checks, checksFailed                         atomic.Uint64
 	erasBegun, listingsOutdated, cataloguesOlder atomic.Uint64
 	changes                                      atomic.Uint64
+	heldLost                                     atomic.Uint64 // packets to be held that did not fit
 }
--- a/internal/edge/decisions.go
+++ b/internal/edge/decisions.go
@@ -10,9 +10,10 @@
 
 // logDecision logs a decision that may have to be explained to a caller: where a flow was
 // opened, or why it was reset or a packet was dropped. Forwarded packets of open flows
-// follow from these decisions and are only counted.
+// follow from these decisions and are only counted. A held opening is logged when it is
+// released, with its wait.
 func (e *Edge) logDecision(now time.Duration, s *direct.Segment, d direct.Decision, id direct.TargetID) {
-	if d.Verb == direct.Forward && !d.SetCookie {
+	if d.Verb == direct.Forward && !d.SetCookie || d.Verb == direct.Hold {
 		return
 	}
 	e.log.Info("flow",
@@ -24,6 +25,7 @@
 		zap.Uint32("copy", retransmissions(s)),
 		zap.Float64("load", d.Load),
 		zap.Int64("version", d.Version),
+		zap.Duration("waited", d.Waited),
 		zap.Duration("age", now-time.Duration(e.proven.Load())))
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,13 +45,15 @@
 	log     *logging.Logger
 	start   time.Time
 
-	mu      sync.Mutex // guards forward
+	mu      sync.Mutex // guards forward and held
 	forward *direct.Forwarder
+	held    heldPackets
 
 	packets  *packets
 	control  *control
 	ready    *ready
 	times    *times
+	gates    *gateMetrics
 	stopping atomic.Bool  // a planned stop has begun
 	proven   atomic.Int64 // when the replica was last known to be current, as time.Duration since start
 	counts   counts
@@ -64,6 +66,7 @@
 	e := &Edge{boot: boot, without: without, log: log, start: time.Now(), failed: make(chan error, 1)}
 	m := metrics.New()
 	e.times = newTimes(m)
+	e.gates = newGateMetrics(e, m)
 	e.forward = direct.New(direct.Config{
 		DataCenter: boot.DataCenter,
 		FlowMaxAge: boot.FlowMaxAge,
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -18,6 +18,8 @@
 	m.Gauge("copy_age_seconds", func() float64 { return (e.now() - time.Duration(e.proven.Load())).Seconds() })
 	m.Gauge("store_era", func() float64 { return float64(e.control.era.Load()) })
 	n := &e.counts
+	m.Gauge("packets_held", func() float64 { return float64(e.heldCount()) })
+	m.Counter("packets_held_lost", n.heldLost.Load)
 	m.Counter("socket_read_errors", n.readErrors.Load)
 	m.Counter("socket_send_errors", n.sendErrors.Load)
 	m.Counter("heartbeats_sent", n.heartbeatsSent.Load)
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -106,16 +106,16 @@
 	if d.Target != nil {
 		to, id = d.Target.Addr, d.Target.ID
 	}
+	if d.Verb == direct.Hold {
+		e.holdPacket(seg, buf[:platform.PrefixSize+n])
+	}
+	first := d.Verb == direct.Hold && e.held.count == 1
+	released := e.takeReleased(now)
 	e.mu.Unlock()
-	switch d.Verb {
-	case direct.Forward:
-		platform.PutTarget(buf, id)
-		if d.SetCookie {
-			platform.SetCookie(packet, id.Cookie())
-		}
-		p.send(buf[:platform.PrefixSize+n], to)
-	case direct.Reset:
-		p.reset(seg)
+	p.carryOut(d, buf[:platform.PrefixSize+n], seg, to, id)
+	p.sendReleased(now, released)
+	if first {
+		e.control.releaseSoon()
 	}
 	if due {
 		e.control.checkSoon()
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -27,6 +27,7 @@
 	Evacuated  []direct.EvacuationInfo `json:"evacuated"`
 	Peers      []Peer                  `json:"peers"`
 	Targets    []direct.TargetInfo     `json:"targets"`
+	Gates      []direct.GateInfo       `json:"gates"` // of the services that have one
 }
 
 // Peer is another balancer as seen by this one.
@@ -63,5 +64,6 @@
 	s.Flows = c.edge.forward.Flows()
 	s.Evacuated = c.edge.forward.Evacuations(now)
 	s.Targets = c.edge.forward.Targets(now)
+	s.Gates = c.edge.forward.Gates(now)
 	return s
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -20,7 +20,7 @@
 	scope    tally.Scope
 	closer   io.Closer
 	handler  http.Handler
-	mu       sync.Mutex // serialises Collect
+	mu       sync.Mutex // guards counters and gauges, and serialises Collect
 	counters []counter
 	gauges   []gauge
 }
@@ -53,13 +53,18 @@
 	return c.scope.Histogram(name, buckets)
 }
 
-// Counter registers a counter; total returns its value, which must not decrease.
+// Counter registers a counter; total returns its value, which must not decrease. It
+// may be called while Collect runs.
 func (c *Collector) Counter(name string, total func() uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.counters = append(c.counters, counter{total: total, c: c.scope.Counter(name)})
 }
 
 // Gauge registers a gauge; level returns its value.
 func (c *Collector) Gauge(name string, level func() float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.gauges = append(c.gauges, gauge{level, c.scope.Gauge(name)})
 }
 
--- a/internal/slowstart/limit.go
+++ b/internal/slowstart/limit.go
@@ -17,6 +17,9 @@
 // Allows reports whether an opening is allowed now.
 func (l *Limit) Allows(now time.Duration) bool { return l.rate > 0 && now >= l.next }
 
+// Owned reports whether this balancer opens flows at the target.
+func (l *Limit) Owned() bool { return l.rate > 0 }
+
 // Take records an opening. An opening without a rate is one that no limit applied to, as when
 // no other target was left, and delays no later one.
 func (l *Limit) Take(now time.Duration) {
