direct: the replay has unequal targets, priorities and hard loads

Full targets answer after 60 ms that they did not run a request, and reset its flow once eight more wait for that answer. In fleets above 180 balancers, outcomes are exchanged once a second.

--- a/internal/direct/replay_test.go
+++ b/internal/direct/replay_test.go
@@ -38,6 +38,12 @@
 	failed   int // requests that failed in all tries
 	far      int // openings to another data centre
 	opened   int // openings, without retransmissions
+	checks   int // checks started at targets
+	ticks    int
+	// rejectedBesideRoom counts openings of market callers that a balancer reset while a target
+	// had had a free slot for longer than simRoom.
+	rejectedBesideRoom int
+	market             *market // set when the callers are those of market_test.go
 	// sum adds up, over all ticks, the requests at the busiest target and the mean of all
 	// targets.
 	sum struct{ busiest, mean float64 }
@@ -53,6 +59,9 @@
 	// simSmallFleet is the number of balancers up to which they report their loads to one
 	// another.
 	simSmallFleet = 16
+	// simLargeFleet is the number of balancers above which they exchange outcomes once a second
+	// instead of on each tick, as adding them up takes half of the time of a replay of 200.
+	simLargeFleet = 180
 	// simCheckRefusal is how long a full target takes to refuse a check.
 	simCheckRefusal = 200 * time.Millisecond
 )
@@ -75,6 +84,8 @@
 	failure      failureMode
 	failureShare float64 // share of requests that it fails
 	failed       int     // requests that it failed
+	refusing     int     // requests that wait for the answer that they were not run
+	freeSince    time.Duration
 }
 
 type simRequest struct {
@@ -83,17 +94,22 @@
 	work      time.Duration // time it takes in a slot
 	tries     int           // retries so far
 	check     func()        // set for a health check instead of a request
+	call      *marketCall   // set for requests of the market's routes
+	delivered bool          // has reached its target
+	notRun    bool          // the target answered that it did not run the request
 }
 
 type simFlow struct {
-	seg     Segment
-	b       *balancer
-	t       *simTarget
-	long    bool
-	copies  uint32      // retransmissions of the opening
-	open    bool        // the caller has accepted an answer to its opening
-	dead    bool        // ended at the caller
-	waiting *simRequest // request without an answer yet
+	seg    Segment
+	b      *balancer
+	t      *simTarget
+	long   bool
+	copies uint32 // retransmissions of the opening
+	open   bool   // the caller has accepted an answer to its opening
+	dead   bool   // ended at the caller
+	// rejected is set when a balancer resets the flow before it is open.
+	rejected bool
+	waiting  *simRequest // request without an answer yet
 }
 
 type event struct {
@@ -189,12 +205,8 @@
 	for i, b := range r.balancers {
 		loads[i] = b.f.Loads()
 	}
-	answers := make([]map[TargetID]Outcome, len(r.balancers))
-	for i, b := range r.balancers {
-		answers[i] = b.f.Outcomes(r.now)
-	}
-	for i, b := range r.balancers {
-		b.f.SetPeerOutcomes(others(answers, i, Outcome.Plus), r.inCentre(b.centre))
+	if r.ticks++; len(r.balancers) <= simLargeFleet || r.ticks%10 == 0 {
+		r.exchangeOutcomes()
 	}
 	for i, b := range r.balancers {
 		if len(r.balancers) <= simSmallFleet {
@@ -208,6 +220,16 @@
 	r.recordImbalance()
 }
 
+func (r *replay) exchangeOutcomes() {
+	answers := make([]map[TargetID]Outcome, len(r.balancers))
+	for i, b := range r.balancers {
+		answers[i] = b.f.Outcomes(r.now)
+	}
+	for i, b := range r.balancers {
+		b.f.SetPeerOutcomes(others(answers, i, Outcome.Plus), r.inCentre(b.centre))
+	}
+}
+
 // others returns the sum of the reports of all balancers but the i-th.
 func others[T any](reports []map[TargetID]T, i int, plus func(T, T) T) map[TargetID]T {
 	sum := map[TargetID]T{}
--- a/internal/direct/replaycheck_test.go
+++ b/internal/direct/replaycheck_test.go
@@ -23,6 +23,7 @@
 // checkLiving queues a check for a slot like a request. A full target refuses it after
 // simCheckRefusal, which counts as an answer.
 func (r *replay) checkLiving(b *balancer, s *simTarget) {
+	r.checks++
 	timeout := r.checkTimeout
 	if timeout == 0 {
 		timeout = b.f.CheckTimeout(s.Service)
