direct: the replay's balancers hold and release packets

The replay of hard loads asked the forwarder for openings only; a held packet now waits at its balancer and is released after each packet, each tick and every 5 ms, as edge does.

--- a/internal/direct/replay_test.go
+++ b/internal/direct/replay_test.go
@@ -69,6 +69,7 @@
 type balancer struct {
 	f      *Forwarder
 	centre int
+	held   map[FlowKey][]func(Decision) // what to do with held packets once they are released
 }
 
 type simTarget struct {
@@ -215,6 +216,7 @@
 			b.f.SetFlowSpread(r.inCentre(b.centre))
 		}
 		b.f.Tick(r.now)
+		r.release(b)
 		r.startChecks(b)
 	}
 	r.recordImbalance()
--- a/internal/direct/replayflow_test.go
+++ b/internal/direct/replayflow_test.go
@@ -66,9 +66,13 @@
 // target; it is nil if nothing depends on that.
 func (r *replay) send(fl *simFlow, s *Segment, arrived func(*simTarget)) {
 	d := fl.b.f.Handle(r.now, s)
-	if arrived != nil {
+	switch {
+	case d.Verb == Hold:
+		r.keep(fl, s, arrived)
+	case arrived != nil:
 		r.deliver(fl, d, arrived)
 	}
+	r.release(fl.b)
 }
 
 // deliver carries out a decision and calls arrived when the packet reaches its target. For a
