--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -97,11 +97,16 @@
 	case !homeFull || p.speed.at(now) > slowFarRatio:
 		p.granted -= (p.granted*farLoss + 99) / 100
 	case p.isQuick(now):
-		p.granted++
+		p.granted += max(1, int(p.adjusted()/farSteps))
 	}
 	p.granted = min(p.granted, p.places())
 }
 
+// farSteps is the number of ticks in which a far pool with quick answers gains its whole share.
+// With one place a tick, a balancer with 53 places there needed 5 s, and a data centre with 2.3
+// times the demand of its slots rejected 26,411 openings in 6 s beside free slots elsewhere.
+const farSteps = 2
+
 // farLoss is the percentage of its places that a far pool loses at a tick with slow answers.
 // Places that pool 0 makes unnecessary end in the same way, because a pool 0 that is full at
 // most ticks would otherwise start from none again and again. They are not used in between.
