--- a/internal/direct/hardload_test.go
+++ b/internal/direct/hardload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -96,3 +97,16 @@
 		}
 	}
 }
+
+// figures summarises the counted calls.
+func (r *replay) figures() string {
+	var b strings.Builder
+	for _, x := range r.market.routes {
+		n := x.total()
+		fmt.Fprintf(&b, "%s: %d, in goal %.3f, late %d, failed %d, lost %d, refused %d, rejected %d; ", x.Name, n.calls, n.share(n.inGoal), n.late, n.failed, n.lost, n.refused, n.rejected)
+	}
+	all := r.market.all()
+	fmt.Fprintf(&b, "worth %.3f, connections/request %.3f, checks %d, rejected beside room %d, busiest/mean %.2f",
+		r.market.worthShare(), all.share(all.connections), r.checks, r.rejectedBesideRoom, r.sum.busiest/r.sum.mean)
+	return b.String()
+}
