--- a/internal/direct/mechanism.go
+++ b/internal/direct/mechanism.go
@@ -29,6 +29,8 @@
 	Yield
 	StartSources
 	StepBack
+	Admission
+	SpeedPlacement
 	mechanismCount
 )
 
@@ -50,6 +52,8 @@
 	Yield:            {"yield", "send callers to other data centres when most balancers here are lost"},
 	StartSources:     {"start-sources", "take the first copy from a few balancers of the data centre rather than from the store"},
 	StepBack:         {"step-back", "send callers to other data centres when this one is evacuated or its balancers reach no target"},
+	Admission:        {"admission", "let requests wait or reject them while a service with a goal has too few slots"},
+	SpeedPlacement:   {"speed-placement", "choose by measured speed among a few targets while a service is saturated"},
 }
 
 // String returns the name used in settings and on the command line.
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -13,10 +13,11 @@
 	workPerFlow float64
 	normalRatio float64 // long-term average latency ratio
 	record      record  // of all requests through this balancer
+	openings    openingCounts
 	// saturation is the smoothed response time relative to normal while the service is
-	// saturated; 0 means that it is not. Nothing sets it yet; admission is to do so.
+	// saturated; 0 means that it is not.
 	saturation float64
-	openings   openingCounts
+	gate       *serviceGate // nil until a route with a goal leads to the service
 }
 
 // saturationRatio returns the factor, at least 1, by which the answers of the service take
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -20,6 +20,8 @@
 	m.Counter("early_openings_dropped", e.packets.early.dropped.Load)
 	m.Gauge("stepped_back", func() float64 { return float64(e.ready.stepBackReason()) })
 	n := &e.counts
+	m.Gauge("packets_held", func() float64 { return float64(e.heldCount()) })
+	m.Counter("packets_held_lost", n.heldLost.Load)
 	m.Counter("socket_read_errors", n.readErrors.Load)
 	m.Counter("socket_send_errors", n.sendErrors.Load)
 	m.Counter("heartbeats_sent", n.heartbeatsSent.Load)
