Admission: urgent openings have places elsewhere; open flows wait behind them

A request on an open flow was forwarded at the end of its goal. Such requests are now held up to half the route's timeout, and after their goal they only get places that no other request can use. Flows to another data centre have no more places there than openings have while the own one is full, and urgent openings have a quarter of the share there, so that a crowded data centre's urgent callers go before less urgent ones elsewhere. After a moment without answers, the rate of admission of the last seconds counts, as the first free place had all waiting openings rejected.

A line a second in the log and the status show the gates of saturated services.

--- a/internal/admission/candidates.go
+++ b/internal/admission/candidates.go
@@ -12,15 +12,16 @@
 // candidates finds the requests of which one is admitted next.
 func (g *Gate[K]) candidates(now time.Duration) candidates {
 	c := candidates{first: -1, lesser: -1, late: -1}
-	_, opening := g.placeFor(now, AnyPool)
-	if !opening && g.waiting.openings == g.waiting.len() {
+	_, opening := g.placeFor(now, AnyPool, false)
+	_, urgent := g.placeFor(now, AnyPool, true)
+	if !opening && !urgent && g.waiting.openings == g.waiting.len() {
 		return c
 	}
 	list := g.waiting.list
 	for i := range list {
 		w := &list[i]
 		switch {
-		case w.pool == AnyPool && !opening, w.pool >= home && !g.flowFree(now, w.pool):
+		case w.pool == AnyPool && !opening && !(urgent && g.isUrgent(now, w.priority)), w.pool >= home && !g.flowFree(now, w.pool):
 		case w.late(now):
 			c.late = firstOf(c.late, i)
 		case c.first < 0:
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -8,6 +8,9 @@
 // saturatedFor is how long a gate counts as saturated after a limit was reached.
 const saturatedFor = 2 * time.Second
 
+// homeFullFor is how long pool 0 counts as full after an opening found it so: two ticks.
+const homeFullFor = 200 * time.Millisecond
+
 // Gate admits the requests of one service at one balancer. It is not safe for concurrent use.
 type Gate[K comparable] struct {
 	pools     []pool // at least pool 0
@@ -15,12 +18,15 @@
 	waiting   waitlist[K]
 	evicted   []waiter[K] // rejected by a full queue, not yet returned by Next
 	turn      turn
+	least     leastUrgent
 	rate      rate
 	review    bool // waiting openings may have become hopeless
 
-	limited   bool          // a limit has been reached
-	limitedAt time.Duration // last time
-	stats     Stats         // counters only
+	limited    bool          // a limit has been reached
+	limitedAt  time.Duration // last time
+	homeFull   bool          // an opening has found pool 0 full
+	homeFullAt time.Duration // last time
+	stats      Stats         // counters only
 }
 
 // NewGate returns a gate without pools, which limits nothing.
@@ -38,7 +44,8 @@
 	if g.IsWaiting(r.Key) {
 		return Wait, AnyPool
 	}
-	p, free := g.placeFor(now, r.Pool)
+	g.least.see(now, r.Priority)
+	p, free := g.placeFor(now, r.Pool, g.isUrgent(now, r.Priority))
 	if free && !g.overtakes(now, p) {
 		g.admit(now, p, r.Priority)
 		return Admit, p
@@ -52,9 +59,10 @@
 	if g.waiting.empty() {
 		return false
 	}
-	opening := g.openingFree(now, p)
+	opening, urgent := g.openingFree(now, p, false), g.openingFree(now, p, true)
 	for i := range g.waiting.list {
-		if w := g.waiting.list[i].pool; w == p || w == AnyPool && opening {
+		w := &g.waiting.list[i]
+		if w.pool == p || w.pool == AnyPool && (opening || urgent && g.isUrgent(now, w.priority)) {
 			return true
 		}
 	}
--- a/internal/admission/next.go
+++ b/internal/admission/next.go
@@ -66,6 +66,7 @@
 }
 
 func (g *Gate[K]) chosen(now time.Duration, i int) (int, Pool) {
-	p, _ := g.placeFor(now, g.waiting.list[i].pool)
+	w := &g.waiting.list[i]
+	p, _ := g.placeFor(now, w.pool, g.isUrgent(now, w.priority))
 	return i, p
 }
--- a/internal/admission/random_test.go
+++ b/internal/admission/random_test.go
@@ -25,7 +25,7 @@
 				if r.Established {
 					t.Fatalf("seed %d: open flow rejected", seed)
 				}
-				if _, free := g.placeFor(now, AnyPool); free && g.waiting.len() < maxWaiting-1 {
+				if _, free := g.placeFor(now, AnyPool, false); free && g.waiting.len() < maxWaiting-1 {
 					t.Fatalf("seed %d: rejected while a place is free", seed)
 				}
 			}
--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// rateBuckets buckets of bucketTime are the half second in which admissions are counted.
@@ -9,6 +12,8 @@
 	// minRateTime is how long openings must have been waiting before a rate is known. Earlier
 	// admissions show the demand, not what can be served.
 	minRateTime = 100 * time.Millisecond
+	// bestDecay is the time constant with which the highest rate is forgotten.
+	bestDecay = 2 * time.Second
 	// minRateCount is the number of admissions from which a rate is known.
 	minRateCount = 4
 )
@@ -17,6 +22,8 @@
 type rate struct {
 	since   time.Duration
 	buckets [rateBuckets]bucket
+	best    float64 // highest rate of the last seconds, in admissions a second, decaying
+	bestAt  time.Duration
 }
 
 // bucket counts the admissions in one interval of bucketTime.
@@ -26,7 +33,21 @@
 }
 
 // restart forgets all admissions: openings have just begun to wait.
-func (r *rate) restart(now time.Duration) { *r = rate{since: now} }
+func (r *rate) restart(now time.Duration) {
+	*r = rate{since: now, best: r.best, bestAt: r.bestAt}
+}
+
+// atLeastBest raises a rate to the highest of the last seconds.
+//
+// While no answers come for a moment, as when a target falls silent or this process is paused,
+// hardly any places become free. The rate of that moment alone would reject all waiting openings
+// when the first place becomes free.
+func (r *rate) atLeastBest(now time.Duration, perSecond float64) float64 {
+	r.best *= math.Exp(-float64(now-r.bestAt) / float64(bestDecay))
+	r.bestAt = now
+	r.best = max(r.best, perSecond)
+	return r.best
+}
 
 // add counts an admission.
 func (r *rate) add(now time.Duration, priority int) {
@@ -57,6 +78,7 @@
 	if window < minRateTime || total < minRateCount {
 		return speeds{}, false
 	}
+	total = r.atLeastBest(now, total/window.Seconds()) * window.Seconds()
 	s.distribute(total)
 	for p := range s {
 		s[p] /= window.Seconds()
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -18,6 +18,10 @@
 	MaxWait     time.Duration // longest useful wait
 	Pool        Pool          // AnyPool for an opening; else the pool of the flow's target
 	Established bool          // on an open flow: never rejected
+	// MaxHold is how long a request on an open flow waits at most before it is admitted beyond
+	// the limit. After MaxWait it is admitted only if no other request can use the place, so
+	// that it delays none that can still meet its goal. Less than MaxWait means MaxWait.
+	MaxHold time.Duration
 }
 
 // Release is a waiting request that is to be sent or rejected now.
--- a/internal/admission/stats.go
+++ b/internal/admission/stats.go
@@ -36,7 +36,7 @@
 	s.Pools = make([]PoolStats, len(g.pools))
 	for i := range g.pools {
 		p := &g.pools[i]
-		s.Pools[i] = PoolStats{p.share, g.openingPlaces(Pool(i)), p.inFlight, p.speed.value}
+		s.Pools[i] = PoolStats{p.share, g.openingPlaces(Pool(i), false), p.inFlight, p.speed.value}
 	}
 	for i := range g.waiting.list {
 		s.Waiting[level(g.waiting.list[i].priority)]++
--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -33,11 +33,11 @@
 	arrived     time.Duration
 	pool        Pool
 	established bool
+	holdUntil   time.Duration // when a request on an open flow is admitted beyond the limit
 }
 
-// late reports whether w has waited too long to be served within its goal. A request on an
-// open flow is admitted at that time and is never late.
-func (w *waiter[K]) late(now time.Duration) bool { return !w.established && w.deadline < now }
+// late reports whether w has waited too long to be served within its goal.
+func (w *waiter[K]) late(now time.Duration) bool { return w.deadline < now }
 
 // released returns the Release of w.
 func (w *waiter[K]) released(now time.Duration, v Verdict, p Pool) Release[K] {
--- a/internal/admission/waitlist.go
+++ b/internal/admission/waitlist.go
@@ -37,6 +37,7 @@
 		arrived:     now,
 		pool:        r.Pool,
 		established: r.Established,
+		holdUntil:   now + max(r.MaxHold, r.MaxWait),
 	}
 }
 
@@ -83,13 +84,13 @@
 	return -1
 }
 
-// overdue returns the index of a request on an open flow whose longest wait has ended, or -1.
+// overdue returns the index of a request on an open flow that is held no longer, or -1.
 func (l *waitlist[K]) overdue(now time.Duration) int {
 	if l.openings == len(l.list) {
 		return -1
 	}
 	for i := range l.list {
-		if w := &l.list[i]; w.established && w.deadline <= now {
+		if w := &l.list[i]; w.established && w.holdUntil <= now {
 			return i
 		}
 	}
--- a/internal/direct/held.go
+++ b/internal/direct/held.go
@@ -135,7 +135,8 @@
 	f.observeAck(now, fl, s)
 	f.refreshShares(now, g)
 	verdict, pool := g.Arrive(now, admission.Request[FlowKey]{
-		Key: fl.key, Priority: route.Priority, MaxWait: f.maxWait(&route), Pool: fl.target.group.pool, Established: true,
+		Key: fl.key, Priority: route.Priority, MaxWait: f.maxWait(&route), Pool: fl.target.group.pool,
+		Established: true, MaxHold: maxHold(&route),
 	})
 	if verdict == admission.Wait {
 		f.hold(&held{gate: g, flow: fl, packets: []Segment{*s}})
--- a/internal/direct/inspect.go
+++ b/internal/direct/inspect.go
@@ -111,6 +111,18 @@
 	Factor    float64    `json:"factor"`    // on this balancer's share
 	Waiting   int        `json:"waiting"`   // openings and requests
 	Pools     []PoolInfo `json:"pools"`
+	// Counts are of all requests since the start, by priority; the last one includes all that
+	// are less urgent.
+	Counts []PriorityCounts `json:"counts"`
+}
+
+// PriorityCounts counts requests of one priority.
+type PriorityCounts struct {
+	Priority int    `json:"priority"`
+	Admitted uint64 `json:"admitted"`
+	Queued   uint64 `json:"queued"`
+	Rejected uint64 `json:"rejected"`
+	Forced   uint64 `json:"forced"` // admitted beyond the limit
 }
 
 // PoolInfo describes the places at a service's targets in one data centre.
@@ -119,6 +131,7 @@
 	Share      float64 `json:"share"`
 	Places     int     `json:"places"`
 	InFlight   int     `json:"in_flight"`
+	Ratio      float64 `json:"ratio"`     // response time relative to normal at the last answer
 	ArcLimit   int     `json:"arc_limit"` // requests in flight at a target while the service is saturated
 }
 
@@ -138,7 +151,12 @@
 	out := GateInfo{Service: g.name, Saturated: g.Saturated(now), Ratio: g.Ratio(now), Factor: st.Factor, Waiting: g.waiting}
 	for i, p := range st.Pools {
 		gr := g.service.groupOf(admission.Pool(i))
-		out.Pools = append(out.Pools, PoolInfo{gr.centre.name, p.Share, p.Places, p.InFlight, gr.arc.limit})
+		out.Pools = append(out.Pools, PoolInfo{gr.centre.name, p.Share, p.Places, p.InFlight, p.Ratio, gr.arc.limit})
+	}
+	for i := range admission.Priorities {
+		if st.Admitted[i]+st.Queued[i]+st.Rejected[i]+st.Forced[i] > 0 {
+			out.Counts = append(out.Counts, PriorityCounts{i, st.Admitted[i], st.Queued[i], st.Rejected[i], st.Forced[i]})
+		}
 	}
 	return out
 }
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -213,6 +213,7 @@
 	if c.ticks%maintenanceTicks == 0 {
 		c.forgetUnregistered()
 		c.writeSourcesIfDue(ctx, now)
+		c.logSaturation()
 		c.log.ReportLost()
 	}
 	c.sendAlarmIfDue(now)
