Tests follow the number of requests per slot; far pools and dropped openings tested

The tests of gates take their numbers of places from RequestsPerSlot, which is exported for internal/edge. TestSaturatedServiceIsCheckedNoMoreOften reports its saturation to a service without a gate: a gate overwrites it at each tick.

TestFarPoolsFollowHome guards the limits that follow pool 0, and TestRejectedAfterAWait the rule that an opening whose copies went elsewhere is dropped.

--- a/internal/admission/places_test.go
+++ b/internal/admission/places_test.go
@@ -198,6 +198,32 @@
 	}
 }
 
+// Guards against openings that go to a data centre which answers later than this one, and
+// against a data centre that is left unused although it answers sooner.
+func TestFarPoolsFollowHome(t *testing.T) {
+	for _, c := range []struct{ home, far, change float64 }{
+		{1, 1.49, gains}, {1, 1.51, keeps}, {1, 1.79, keeps}, {1, 1.81, loses},
+		{2, 1.49, gains}, {2, 1.51, keeps}, {2, 1.99, keeps}, {2, 2.01, loses},
+		{4, 2.99, gains}, {4, 3.01, keeps}, {4, 3.99, keeps}, {4, 4.01, loses},
+	} {
+		p := newPool()
+		p.setShare(100)
+		p.granted, p.answered = 50, true
+		p.speed.value = c.far
+		p.adjustGranted(0, true, c.home)
+		if want := 50 + int(c.change); p.granted != want {
+			t.Errorf("home %v, far %v: 50 places become %d, want %d", c.home, c.far, p.granted, want)
+		}
+	}
+}
+
+// The changes of 50 places of a far pool with a share of 100 at a tick.
+const (
+	gains = 50
+	keeps = 0
+	loses = -15
+)
+
 // Guards against a loss of places other than 30 %.
 func TestFarLoss(t *testing.T) {
 	for granted, want := range map[int]int{0: 0, 1: 0, 2: 1, 5: 3, 10: 7, 100: 70} {
--- a/internal/direct/admission_test.go
+++ b/internal/direct/admission_test.go
@@ -8,8 +8,12 @@
 	"rosedale.dev/rosedale/internal/admission"
 )
 
-// newGated returns a fixture with goals whose balancer is the only one of its data centre: with
-// one target it has four places.
+// placesPerTarget is the number of places that a balancer which is alone in its data centre has
+// for each target of target1.
+const placesPerTarget = 2 * RequestsPerSlot
+
+// newGated returns a fixture with goals whose balancer is the only one of its data centre: it
+// has placesPerTarget places for each target.
 func newGated(t *testing.T, targets ...Target) *fixture {
 	b := newGoalFixture(t, targets...)
 	b.f.SetBalancers("b1", nil)
@@ -85,24 +89,24 @@
 // that frees a place has to let it go on.
 func TestOpeningWaitsForAPlace(t *testing.T) {
 	b := newGated(t, target1(1, "a"))
-	b.fill(4)
-	b.want(b.handle(packet(9, streams, SYN, 0)), HeldOpening)
+	b.fill(placesPerTarget)
+	b.want(b.handle(packet(99, streams, SYN, 0)), HeldOpening)
 	b.now += 200 * time.Millisecond
-	copied := packet(9, streams, SYN, 0)
+	copied := packet(99, streams, SYN, 0)
 	copied.Ack = 1
 	b.want(b.handle(copied), DroppedWaiting)
 	if r := b.releases(); len(r) != 0 {
 		t.Errorf("released without a place: %v", r)
 	}
-	if x := b.f.Explain(b.now, packet(9, streams, 0, 0).Flow()); x.Outcome != HeldOpening.String() || len(x.Gates) != 1 || x.Gates[0].Waiting != 1 {
+	if x := b.f.Explain(b.now, packet(99, streams, 0, 0).Flow()); x.Outcome != HeldOpening.String() || len(x.Gates) != 1 || x.Gates[0].Waiting != 1 {
 		t.Errorf("explanation %+v", x)
 	}
 	b.answer(2, 1)
-	d := b.releases()[9]
+	d := b.releases()[99]
 	if d.Verb != Forward || d.Reason != OpenedNear || d.Target.ID != 1 || !d.SetCookie || d.Waited != 200*time.Millisecond {
 		t.Errorf("released as %+v", d)
 	}
-	b.wantInFlight(4)
+	b.wantInFlight(placesPerTarget)
 }
 
 // A copy of an opening that was forwarded must go to a second target and keep its place: a
@@ -124,12 +128,12 @@
 // The opening of the more urgent route has to be released first, whatever order they came in.
 func TestUrgentOpeningGoesFirst(t *testing.T) {
 	b := newGated(t, target1(1, "a"))
-	b.fill(4)
-	b.want(b.handle(packet(9, streams, SYN, 0)), HeldOpening)
+	b.fill(placesPerTarget)
+	b.want(b.handle(packet(99, streams, SYN, 0)), HeldOpening)
 	b.now += 10 * time.Millisecond
-	b.want(b.handle(packet(10, notes, SYN, 0)), HeldOpening)
+	b.want(b.handle(packet(100, notes, SYN, 0)), HeldOpening)
 	b.answer(1, 1)
-	if r := b.releases(); len(r) != 1 || r[10].Verb != Forward {
+	if r := b.releases(); len(r) != 1 || r[100].Verb != Forward {
 		t.Errorf("released %v, want the urgent opening", r)
 	}
 }
@@ -165,7 +169,7 @@
 			s.Ack, unknown[port] = 1, true
 		}
 		take(port, b.handle(s))
-		if port%3 == 0 && len(serving) >= 4 {
+		if port%3 == 0 && len(serving) >= placesPerTarget {
 			p := serving[0]
 			serving = serving[1:]
 			b.sendRequest(p, streams, 1, 101, 1000)
@@ -250,12 +254,12 @@
 	b := newGoalFixture(t, target1(1, "a"))
 	b.f.Tick(b.now)
 	g := b.f.services["s"].gate
-	if got := g.Stats().Pools[0].Share; got != 4.0/unknownFleet {
+	if got := g.Stats().Pools[0].Share; got != float64(placesPerTarget)/unknownFleet {
 		t.Errorf("share %v", got)
 	}
 	b.f.SetBalancers("b1", []string{"b0", "b2"})
 	b.f.Tick(b.now)
-	if got := g.Stats().Pools[0].Share; got != 4.0/3 || b.f.position != (fleetPosition{1, 3}) {
+	if got := g.Stats().Pools[0].Share; got != float64(placesPerTarget)/3 || b.f.position != (fleetPosition{1, 3}) {
 		t.Errorf("share %v at %+v", got, b.f.position)
 	}
 }
@@ -285,10 +289,10 @@
 // that no longer limits anything.
 func TestRemovedGoalReleasesWaitingOpenings(t *testing.T) {
 	b := newGated(t, target1(1, "a"))
-	b.fill(4)
-	b.want(b.handle(packet(9, streams, SYN, 0)), HeldOpening)
+	b.fill(placesPerTarget)
+	b.want(b.handle(packet(99, streams, SYN, 0)), HeldOpening)
 	b.f.SetCatalogue(testCatalogue())
-	if r := b.pass(100 * time.Millisecond); r[9].Verb != Forward {
+	if r := b.pass(100 * time.Millisecond); r[99].Verb != Forward {
 		t.Errorf("released %v", r)
 	}
 }
--- a/internal/direct/held_test.go
+++ b/internal/direct/held_test.go
@@ -12,11 +12,11 @@
 	b := newGated(t, target1(1, "a"))
 	b.fill(1)
 	b.answer(1, 1)
-	for port := uint16(2); port < 6; port++ {
+	for port := uint16(2); port < 2+placesPerTarget; port++ {
 		b.openFlow(port, streams)
 		b.sendRequest(port, streams, 1, 101, 1000)
 	}
-	b.wantInFlight(4)
+	b.wantInFlight(placesPerTarget)
 	return b
 }
 
@@ -27,7 +27,7 @@
 	b.want(b.sendRequest(1, streams, 1, 401, 3000), HeldRequest)
 	b.want(b.sendRequest(1, streams, 1, 401, 3000), DroppedWaiting) // a retransmission
 	b.want(b.sendRequest(1, streams, 1, 701, 3000), HeldRequest)    // its second packet
-	if busy := b.state(1).busy; busy != 4 {
+	if busy := b.state(1).busy; busy != placesPerTarget {
 		t.Errorf("%d requests in flight at the target", busy)
 	}
 	b.answer(2, 1)
@@ -37,7 +37,7 @@
 	if fl := b.f.flows[packet(1, streams, 0, 0).Flow()]; fl.maxEnd != 1001 || !fl.pending || fl.held != nil {
 		t.Errorf("flow after the release: %+v", fl)
 	}
-	b.wantInFlight(4)
+	b.wantInFlight(placesPerTarget)
 	if b.f.Count(HeldRequest) != 2 || b.f.Count(DroppedWaiting) != 1 {
 		t.Errorf("%d held, %d dropped", b.f.Count(HeldRequest), b.f.Count(DroppedWaiting))
 	}
@@ -50,7 +50,7 @@
 	if r := b.pass(300 * time.Millisecond); r[1].Reason != ForwardedForced || r[1].Verb != Forward {
 		t.Errorf("released %v", r)
 	}
-	b.wantInFlight(5)
+	b.wantInFlight(placesPerTarget + 1)
 }
 
 // A FIN must not overtake the held request, and its place must not leak.
@@ -63,7 +63,7 @@
 	if r := b.releases(); r[1].Verb != Forward || r[1].Reason != ForwardedForced {
 		t.Errorf("released %v", r)
 	}
-	b.wantInFlight(4)
+	b.wantInFlight(placesPerTarget)
 }
 
 // After the caller's reset, the data must not be sent: the target would run a request that
@@ -79,7 +79,7 @@
 	if r := b.releases(); len(r) != 0 {
 		t.Errorf("released %v", r)
 	}
-	b.wantInFlight(3)
+	b.wantInFlight(placesPerTarget - 1)
 }
 
 // The caller of a held opening gives up, or the flow is opened through another balancer. The
@@ -87,13 +87,13 @@
 func TestHeldOpeningOfACallerThatGaveUp(t *testing.T) {
 	for name, after := range map[string]func(*fixture) map[uint16]Decision{
 		"patience":         func(b *fixture) map[uint16]Decision { return b.pass(openingPatience + 100*time.Millisecond) },
-		"reset":            func(b *fixture) map[uint16]Decision { b.handle(packet(9, streams, RST, 0)); return b.releases() },
-		"opened elsewhere": func(b *fixture) map[uint16]Decision { b.handle(packet(9, streams, ACK, 1)); return b.releases() },
+		"reset":            func(b *fixture) map[uint16]Decision { b.handle(packet(99, streams, RST, 0)); return b.releases() },
+		"opened elsewhere": func(b *fixture) map[uint16]Decision { b.handle(packet(99, streams, ACK, 1)); return b.releases() },
 	} {
 		b := newGated(t, target1(1, "a"))
-		b.fill(4)
-		b.want(b.handle(packet(9, streams, SYN, 0)), HeldOpening)
-		if r := after(b); r[9].Verb != Drop || r[9].Reason != DroppedWaiting {
+		b.fill(placesPerTarget)
+		b.want(b.handle(packet(99, streams, SYN, 0)), HeldOpening)
+		if r := after(b); r[99].Verb != Drop || r[99].Reason != DroppedWaiting {
 			t.Errorf("%s: released %v", name, r)
 		}
 		b.answer(1, 1)
@@ -103,17 +103,53 @@
 	}
 }
 
+// An opening that is rejected after a wait must be dropped if its copies went to another balancer,
+// which may have opened the flow: the reset would not be truthful. If a copy came here, or none
+// was due yet, the reset must be sent, or the caller would wait for nothing.
+func TestRejectedAfterAWait(t *testing.T) {
+	for name, c := range map[string]struct {
+		waited time.Duration
+		copied bool
+		want   Decision
+	}{
+		"copied elsewhere": {copyTimeout + time.Millisecond, false, Decision{Verb: Drop, Reason: DroppedWaiting}},
+		"copied here":      {copyTimeout + time.Millisecond, true, Decision{Verb: Reset, Reason: ResetOverload}},
+		"not copied yet":   {copyTimeout, false, Decision{Verb: Reset, Reason: ResetOverload}},
+	} {
+		b := newGated(t, target1(1, "a"))
+		b.fill(placesPerTarget)
+		opening := packet(99, streams, SYN, 0)
+		b.want(b.handle(opening), HeldOpening)
+		if c.copied {
+			b.now += 200 * time.Millisecond
+			copied := *opening
+			copied.Ack = 1
+			b.want(b.handle(&copied), DroppedWaiting)
+			b.now -= 200 * time.Millisecond
+		}
+		b.now += c.waited
+		var r map[uint16]Decision
+		for port := uint16(200); port < 2000 && len(r) == 0; port++ { // fills the queue with urgent openings
+			b.want(b.handle(packet(port, notes, SYN, 0)), HeldOpening)
+			r = b.releases()
+		}
+		if d := r[99]; len(r) != 1 || d.Verb != c.want.Verb || d.Reason != c.want.Reason || d.Waited != c.waited {
+			t.Errorf("%s: released %v", name, r)
+		}
+	}
+}
+
 // A packet that could not be kept must not leave a wait behind: its copy would be dropped as one
 // of a waiting packet, and nothing would be sent on release.
 func TestPacketsThatCouldNotBeKept(t *testing.T) {
 	b := newWithIdleFlow(t)
-	b.want(b.handle(packet(9, streams, SYN, 0)), HeldOpening)
-	b.f.Unhold(packet(9, streams, SYN, 0))
+	b.want(b.handle(packet(99, streams, SYN, 0)), HeldOpening)
+	b.f.Unhold(packet(99, streams, SYN, 0))
 	b.want(b.sendRequest(1, streams, 1, 401, 3000), HeldRequest)
 	b.want(b.sendRequest(1, streams, 1, 701, 3000), HeldRequest)
 	b.f.Unhold(packet(1, streams, ACK, 1))
 	b.want(b.sendRequest(1, streams, 1, 701, 3000), HeldRequest)
-	b.want(b.handle(packet(9, streams, SYN, 0)), HeldOpening)
+	b.want(b.handle(packet(99, streams, SYN, 0)), HeldOpening)
 	if n := b.f.services["s"].gate.waiting; n != 2 {
 		t.Errorf("%d wait", n)
 	}
@@ -136,8 +172,8 @@
 		"falls silent": func(b *fixture) { b.state(1).suspect(b.now) },
 	} {
 		b := newGated(t, target1(1, "a"), target1(2, "a"), target1(3, "a"))
-		ids := b.fill(12)
-		for port := uint16(20); port < 24; port++ {
+		ids := b.fill(3 * placesPerTarget)
+		for port := uint16(200); port < 204; port++ {
 			b.want(b.handle(packet(port, streams, SYN, 0)), HeldOpening)
 		}
 		change(b)
@@ -152,7 +188,7 @@
 				sent[port] = d
 			}
 		}
-		for port := uint16(20); port < 24; port++ {
+		for port := uint16(200); port < 204; port++ {
 			if d := sent[port]; d.Verb != Forward || name != "restarts" && d.Target.ID == 1 {
 				t.Errorf("%s: opening %d: %+v", name, port, d)
 			}
@@ -166,13 +202,13 @@
 // once.
 func TestLastTargetDiesWhileAnOpeningWaits(t *testing.T) {
 	b := newGated(t, target1(1, "a"))
-	b.fill(4)
-	b.want(b.handle(packet(9, streams, SYN, 0)), HeldOpening)
+	b.fill(placesPerTarget)
+	b.want(b.handle(packet(99, streams, SYN, 0)), HeldOpening)
 	x := target1(1, "a")
 	x.Draining = true
 	b.f.PutTarget(b.now, x)
 	b.f.RemoveTarget(b.now, 1)
-	if r := b.pass(100 * time.Millisecond); r[9].Verb != Reset || r[9].Reason != ResetNoTarget {
+	if r := b.pass(100 * time.Millisecond); r[99].Verb != Reset || r[99].Reason != ResetNoTarget {
 		t.Errorf("released %v", r)
 	}
 }
--- a/internal/direct/overdue_test.go
+++ b/internal/direct/overdue_test.go
@@ -183,6 +183,7 @@
 	checks := map[bool]int{} // by whether the saturation is reported
 	for _, reported := range []bool{false, true} {
 		c := newSequentialCaller(t, 9, callerGoal)
+		c.f.service("s").gate, c.f.gates = nil, nil // they would overwrite the reported saturation
 		c.askMany(1000, 2)
 		quiet := c.askMany(requests, 2)
 		if reported {
--- a/internal/direct/shares.go
+++ b/internal/direct/shares.go
@@ -10,13 +10,13 @@
 )
 
 const (
-	// requestsPerSlot is how many requests all balancers together may have in flight for each
+	// RequestsPerSlot is how many requests all balancers together may have in flight for each
 	// slot. With one, slots would idle for a round trip between requests. With two, requests
 	// waited at some balancers while others had free places: at 0.95 of the slots 29 balancers
 	// answered 0.981 of the requests in goal and rejected 860, with three 0.996 and 34
 	// (TestUnequalTargets). A target queues four more per slot, so that some room is left while
 	// views of the fleet differ.
-	requestsPerSlot = 3
+	RequestsPerSlot = 3
 	// unknownFleet is the number of balancers that this one assumes in its data centre until it
 	// knows them.
 	unknownFleet = 32
@@ -86,7 +86,7 @@
 	}
 }
 
-// updateShares sets the gate's share of places in each pool: requestsPerSlot for each slot of
+// updateShares sets the gate's share of places in each pool: RequestsPerSlot for each slot of
 // the usable targets, divided by the balancers of this data centre. Targets are usable under
 // the first condition that place would find any target with.
 func (f *Forwarder) updateShares(now time.Duration, g *serviceGate) {
@@ -116,7 +116,7 @@
 			slots += max(t.Slots, 1)
 		}
 	}
-	gr.share = float64(requestsPerSlot*slots) / float64(f.position.balancers)
+	gr.share = float64(RequestsPerSlot*slots) / float64(f.position.balancers)
 	if g.active {
 		g.SetPool(gr.pool, gr.share)
 	} else {
--- a/internal/direct/soonest_test.go
+++ b/internal/direct/soonest_test.go
@@ -1,10 +1,21 @@
 package direct
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 )
 
+// otherBalancers returns the names of the others of n balancers, of which "b1" is the first.
+func otherBalancers(n int) []string {
+	var out []string
+	for i := 2; i <= n; i++ {
+		out = append(out, fmt.Sprintf("b%d", i))
+	}
+	return out
+}
+
 // saturate fills all places and makes an opening wait.
 func (b *fixture) saturate(places int) []TargetID {
 	b.t.Helper()
@@ -13,23 +24,38 @@
 	return ids
 }
 
+// learnUsualTime makes 20 ms the usual response time of a route.
+func (b *fixture) learnUsualTime() *baseline {
+	base := b.f.baselineOf(streams)
+	for range 2 * minSamples {
+		base.learn(20*time.Millisecond, 2000)
+		base.learnLongTerm(20 * time.Millisecond)
+	}
+	return base
+}
+
 // With all targets nearby at their limit, a far pool must get waiting openings, half of its share
 // at a tick, and an evacuation or a cut of the own data centre must give it its whole share at
 // once.
 func TestFarPoolsWhileSaturated(t *testing.T) {
+	const (
+		half    = placesPerTarget // of the share at the far pool, which has two targets
+		waiting = half + 2
+	)
 	for name, c := range map[string]struct {
 		change func(*fixture)
-		sent   int // of 6 waiting openings, within 100 ms
+		sent   int // of the waiting openings, within 100 ms
 		reason Reason
 	}{
-		"slots full": {func(*fixture) {}, 4, OpenedFar},
-		"evacuated":  {func(b *fixture) { b.f.Evacuate(b.now, "a", rev(1)) }, 6, OpenedEvacuated},
-		"cut off":    {func(b *fixture) { b.state(1).dead = true }, 6, OpenedFar},
+		"slots full": {func(*fixture) {}, half, OpenedFar},
+		"evacuated":  {func(b *fixture) { b.f.Evacuate(b.now, "a", rev(1)) }, waiting, OpenedEvacuated},
+		"cut off":    {func(b *fixture) { b.state(1).dead = true }, waiting, OpenedFar},
 	} {
 		b := newGated(t, target1(1, "a"), target1(2, "b"), target1(3, "b"))
 		b.f.without = 1 << Spill // which would use the far targets before the places are taken
-		b.fill(4)
-		for port := uint16(20); port < 26; port++ {
+		b.learnUsualTime()       // otherwise the longest wait is so short that some openings are rejected
+		b.fill(placesPerTarget)
+		for port := uint16(200); port < 200+waiting; port++ {
 			b.want(b.handle(packet(port, streams, SYN, 0)), HeldOpening)
 		}
 		c.change(b)
@@ -70,13 +96,9 @@
 			targets = append(targets, target1(TargetID(i+1), "a"))
 		}
 		b := newGated(t, targets...)
-		b.f.SetBalancers("b1", []string{"b2", "b3", "b4", "b5", "b6", "b7", "b8"})
+		b.f.SetBalancers("b1", otherBalancers(4*placesPerTarget/2))
 		b.f.without = without
-		base := b.f.baselineOf(streams)
-		for range 2 * minSamples {
-			base.learn(20*time.Millisecond, 2000)
-			base.learnLongTerm(20 * time.Millisecond)
-		}
+		b.learnUsualTime()
 		return b.serveSaturated(4 * time.Second)
 	}
 	by, without := share(0), share(1<<SpeedPlacement)
@@ -144,18 +166,20 @@
 		targets = append(targets, target1(TargetID(i+1), "a"))
 	}
 	b := newGated(t, targets...)
-	b.f.SetBalancers("b1", []string{"b2", "b3", "b4"})
-	b.saturate(8)
+	b.f.SetBalancers("b1", otherBalancers(4))
+	const places = 8 * placesPerTarget / 4
+	b.saturate(places)
 	g := b.f.services["s"].gate
 	a := b.f.arcOf(b.now, g, g.service.near)
-	if len(a.targets) != 8 || a.limit != 1 {
+	if len(a.targets) != 8 || a.limit != (places+7)/8 {
 		t.Errorf("arc of %d targets, limit %d", len(a.targets), a.limit)
 	}
-	b.f.SetBalancers("b1", []string{"b0", "b2", "b3", "b4", "b5", "b6", "b7"})
+	// So many balancers that arcFactor times the share is no more than minArc.
+	b.f.SetBalancers("b1", otherBalancers(int(math.Ceil(arcFactor*8*placesPerTarget/minArc))))
 	b.now += sharesPause
 	b.f.refreshShares(b.now, g)
 	a = b.f.arcOf(b.now, g, g.service.near)
-	if len(a.targets) != 4 {
+	if len(a.targets) != minArc {
 		t.Fatalf("arc of %d targets", len(a.targets))
 	}
 	for _, x := range a.targets[:3] {
@@ -178,15 +202,11 @@
 // would look fast and a slow data centre normal.
 func TestNormalTimesAreNotLearntWhileSaturated(t *testing.T) {
 	b := newGated(t, target1(1, "a"))
-	base := b.f.baselineOf(streams)
-	for range 2 * minSamples {
-		base.learn(20*time.Millisecond, 2000)
-		base.learnLongTerm(20 * time.Millisecond)
-	}
+	base := b.learnUsualTime()
 	before := *base
-	b.saturate(4)
+	b.saturate(placesPerTarget)
 	b.now += 100 * time.Millisecond
-	for port := uint16(1); port <= 4; port++ {
+	for port := uint16(1); port <= placesPerTarget; port++ {
 		s := packet(port, streams, ACK|FIN, 1)
 		s.Seq, s.Ack = 401, 3000
 		b.handle(s)
@@ -207,8 +227,8 @@
 		targets = append(targets, target1(TargetID(i+1), "a"))
 	}
 	x := newGated(&testing.T{}, targets...)
-	x.f.SetBalancers("b1", []string{"b2", "b3", "b4", "b5", "b6", "b7", "b8"})
-	x.saturate(60)
+	x.f.SetBalancers("b1", otherBalancers(8))
+	x.saturate(120 * placesPerTarget / 8)
 	x.handle(packet(1, streams, RST, 1))
 	x.handle(packet(2, streams, RST, 1))
 	x.f.Releases(x.now)
--- a/internal/edge/held_test.go
+++ b/internal/edge/held_test.go
@@ -17,16 +17,17 @@
 	t.Parallel()
 	d := deploy(t, 1)
 	b := d.balancers[0]
+	const places = 4 * direct.RequestsPerSlot // at two targets of two slots
 	d.eventually(3*time.Second, "the balancer knows that it is alone", func() bool {
 		for _, g := range b.adminStatus(t).Gates {
-			if g.Service == "catalogue" && len(g.Pools) > 0 && g.Pools[0].Share == 8 {
+			if g.Service == "catalogue" && len(g.Pools) > 0 && g.Pools[0].Share == places {
 				return true
 			}
 		}
 		return false
 	})
 	var flows []*standin.Flow
-	for range 8 {
+	for range places {
 		fl, err := d.caller.Open(previews, b.boot.Data)
 		if err != nil {
 			t.Fatal(err)
