--- a/internal/admission/factor.go
+++ b/internal/admission/factor.go
@@ -5,8 +5,8 @@
 
 const (
 	normalFactor factor = 1
-	// minFactor: less than half of the share would leave slots idle, as two requests per slot
-	// are intended.
+	// minFactor: less than half of the share, which is three requests per slot over all
+	// balancers, could leave slots idle.
 	minFactor factor = 0.5
 	// maxFactor: a balancer that does not know how few its peers are reaches its real share,
 	// unless they are less than a quarter of those it counts.
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -16,8 +16,8 @@
 
 	// quickRatio is the relative response time below which targets do not queue.
 	quickRatio = 1.5
-	// slowRatio is the relative response time above which the share is reduced. Two requests
-	// per slot, which is the intended load, give about 2.
+	// slowRatio is the relative response time above which the share is reduced. Three
+	// requests per slot, which is the intended load, give up to 3.
 	slowRatio = 3
 	// slowFarRatio is the relative response time up to which another data centre never counts
 	// as full.
