--- a/internal/admission/bench_test.go
+++ b/internal/admission/bench_test.go
@@ -35,7 +35,7 @@
 // busyGate returns a gate with a full queue of two priorities and a known rate.
 func busyGate(tb testing.TB) (g *Gate[int], now time.Duration) {
 	g = gateWith(1, 1)
-	for i := range maxWaiting + 1 {
+	for i := range maxWaiting + 2 { // one is admitted at home, an urgent one elsewhere
 		g.Arrive(0, opening(i, 1+i%2, time.Hour))
 	}
 	for now = 0; now < 600*ms; now += 10 * ms {
