--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -89,12 +89,12 @@
 	return max(r.Goal-goalReserve*usual, time.Duration(minWaitShare*float64(r.Goal)))
 }
 
-// maxHold returns how long a request on an open flow is held at most. It leaves the target half
-// of the route's timeout.
+// maxHold returns how long a request on an open flow is held at most. It leaves the target a
+// quarter of the route's timeout.
 //
 // If such requests were forwarded at the end of their goal, they alone would take all slots
 // while callers of long flows ask for more than there are, and urgent openings would get none.
-func maxHold(r *Route) time.Duration { return r.Timeout / 2 }
+func maxHold(r *Route) time.Duration { return r.Timeout * 3 / 4 }
 
 // admitOpening asks the gate of a service for a place for an opening that this balancer has not
 // forwarded yet.
