admission: nothing is rejected as hopeless while places grow

Traces of openings rejected beside a free slot (TestTwoPriorities..., TestUnequalTargets, TestOneDataCentreBeyondItsSlots) show three causes: - Far pools had quick answers (ratio 1.0) but few places in the first 200 ms of a burst, and the quick ones of pool 0 were about to raise its factor.

--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -87,6 +87,11 @@
 	return p.speed.at(now) < ratio && (p.answered || p.inFlight == 0)
 }
 
+// wasBelow is isBelow at any time between two ticks.
+func (p *pool) wasBelow(now time.Duration, ratio float64) bool {
+	return p.speed.at(now) < ratio && (now-p.speed.last <= maxGap || p.inFlight == 0)
+}
+
 // adjustFactor follows the answers while all places are taken, and returns to normal else.
 func (p *pool) adjustFactor(now time.Duration) {
 	switch {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -57,6 +57,9 @@
 
 // isHopeless reports whether the opening w, which arrives now, would wait too long.
 func (g *Gate[K]) isHopeless(now time.Duration, w *waiter[K]) bool {
+	if g.growing(now) {
+		return false
+	}
 	s, known := g.rate.speeds(now)
 	return known && s.exceeds(float64(g.waiting.ahead(w.rank)), w.rank, now)
 }
@@ -76,6 +79,9 @@
 // hopeless returns the index of the first waiting opening that would wait too long, or -1.
 // Those behind it come closer when it is rejected.
 func (g *Gate[K]) hopeless(now time.Duration) int {
+	if g.growing(now) {
+		return -1
+	}
 	s, known := g.rate.speeds(now)
 	if !known {
 		return -1
@@ -118,3 +124,24 @@
 	g.stats.Canceled++
 	return true
 }
+
+// growing reports whether the next tick can add places for openings, because the answers of pool
+// 0 or of a far pool show that its targets do not queue. The rate of admissions then says little
+// about the rate to come: when a data centre's demand rose to 2.3 times its slots, 29 balancers
+// rejected 682 openings in 6 s without this rule and 468 with it, means of six replays.
+func (g *Gate[K]) growing(now time.Duration) bool {
+	h := &g.pools[home]
+	if !h.usable() {
+		return false
+	}
+	if h.factor < maxFactor && h.wasBelow(now, quickRatio) {
+		return true
+	}
+	ratio := h.speed.at(now)
+	for i := 1; i < len(g.pools); i++ {
+		if p := &g.pools[i]; p.granted < p.places() && p.wasBelow(now, max(quickRatio, soonerFar*ratio)) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/admission/reject_test.go
+++ b/internal/admission/reject_test.go
@@ -129,3 +129,41 @@
 		t.Errorf("%d of 96 rejected when the rate is known, want all but 2", n)
 	}
 }
+
+// Guards against openings that are rejected by the rate of the past while answers show that the
+// targets do not queue, so that the next tick adds places.
+func TestNothingIsRejectedWhilePlacesGrow(t *testing.T) {
+	for _, c := range []struct {
+		home, far float64 // ratios of the answers
+		factor    factor
+		rejects   bool
+	}{
+		{home: 1.4, far: 2, factor: normalFactor},
+		{home: 1.4, far: 2, factor: maxFactor, rejects: true},
+		{home: 1.6, far: 1.4, factor: normalFactor},
+		{home: 4, far: 2.9, factor: normalFactor},
+		{home: 1.6, far: 1.6, factor: normalFactor, rejects: true},
+	} {
+		g := gateWith(1, 4)
+		g.pools[home].factor = c.factor
+		g.pools[home].speed.value, g.pools[1].speed.value = c.home, c.far
+		for i := range 40 {
+			g.Arrive(0, opening(i, 1, 50*ms))
+		}
+		rejected := 0
+		for now := 10 * ms; now <= 200*ms; now += 10 * ms {
+			g.Answered(now, home, c.home)
+			g.Answered(now, 1, c.far)
+			g.Done(now, home, ms)
+			g.review = true
+			for r, ok := g.Next(now); ok; r, ok = g.Next(now) {
+				if r.Verdict == Reject {
+					rejected++
+				}
+			}
+		}
+		if (rejected > 0) != c.rejects {
+			t.Errorf("%+v: %d rejected", c, rejected)
+		}
+	}
+}
--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -19,6 +19,10 @@
 	goalReserve = 6
 	// minWaitShare is the smallest share of the goal for which a request may wait.
 	minWaitShare = 0.25
+	// unknownWaitShare is that share until the usual response time is known. With minWaitShare, a
+	// balancer with four places rejected openings at half of the load that the slots can serve,
+	// while its places were taken by requests that took seven times as long as others.
+	unknownWaitShare = 0.5
 )
 
 // serviceGate limits the requests that this balancer has in flight at the targets of a service.
@@ -82,10 +86,11 @@
 	if r.Goal <= 0 {
 		return maxWaitWithoutGoal
 	}
-	usual := initialAnswerTime
-	if b := f.baselineOf(r.Address); b.samples >= minSamples {
-		usual = time.Duration(b.longTermTime)
+	b := f.baselineOf(r.Address)
+	if b.samples < minSamples {
+		return time.Duration(unknownWaitShare * float64(r.Goal))
 	}
+	usual := time.Duration(b.longTermTime)
 	return max(r.Goal-goalReserve*usual, time.Duration(minWaitShare*float64(r.Goal)))
 }
 
