direct: a gate that does not see the ends of requests limits nothing

If the network spreads the packets of a flow over balancers, each place was kept for 2 s and the balancer limited its callers without reason. When at least half of the places of the last seconds ended by that time-out at targets without evidence against them, the gate limits nothing until at most a quarter does. admission_unlimited and admission_unseen_ends show it.

--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -32,6 +32,7 @@
 	service  *service
 	active   bool // a route with a goal leads to the service; otherwise nothing is limited
 	speeds   *speed.Tracker
+	ends     ends
 	waiting  int                               // held openings and requests; see held
 	stale    bool                              // the shares may have changed since sharedAt
 	sharedAt time.Duration                     // when the shares were set
@@ -138,8 +139,10 @@
 
 // GateStats is the state of the gate of one service.
 type GateStats struct {
-	Service string
-	Active  bool
+	Service    string
+	Active     bool
+	Unlimited  bool   // limits nothing, because most ends of requests are not seen
+	UnseenEnds uint64 // places given back without an end at living targets
 	admission.Stats
 }
 
@@ -147,7 +150,7 @@
 func (f *Forwarder) GateStats() []GateStats {
 	var out []GateStats
 	for _, g := range f.gates {
-		out = append(out, GateStats{g.name, g.active, g.Stats()})
+		out = append(out, GateStats{g.name, g.active, g.ends.unlimited, g.ends.total, g.Stats()})
 	}
 	return out
 }
@@ -157,6 +160,7 @@
 func (f *Forwarder) tickGates(now time.Duration) {
 	f.expireHeld(now)
 	for _, g := range f.gates {
+		g.ends.update(now)
 		g.stale = true
 		f.updateShares(now, g)
 		g.Tick(now)
--- /dev/null
+++ b/internal/direct/ends_test.go
@@ -0,0 +1,110 @@
+package direct
+
+import (
+	"testing"
+	"time"
+)
+
+// spread sends openings and first packets for some time, so that targets show life, and the
+// ends of so many of 4 requests.
+func (b *fixture) spread(length time.Duration, port *uint16, endsOfFour int) (held int) {
+	begin := func(port uint16, id TargetID) {
+		first := packet(port, streams, ACK, id.Cookie())
+		first.Seq, first.Ack = 101, 1000
+		b.handle(first)
+		b.sendRequest(port, streams, id, 101, 1000)
+		if int(port%4) < endsOfFour {
+			b.answer(port, id)
+		}
+	}
+	for end := b.now + length; b.now < end; {
+		*port++
+		d := b.handle(packet(*port, streams, SYN, 0))
+		b.now += 5 * time.Millisecond
+		if d.Verb == Forward {
+			begin(*port, d.Target.ID)
+		} else {
+			held++
+		}
+		for p, d := range b.pass(95 * time.Millisecond) {
+			if d.Verb == Forward {
+				begin(p, d.Target.ID)
+			}
+		}
+	}
+	return held
+}
+
+// The network spreads the packets of a flow over balancers, so that most ends of requests pass
+// other ones. The gate must stop limiting, as its places say nothing about the targets, and must
+// limit again once it sees the ends.
+func TestUnseenEndsLiftTheLimit(t *testing.T) {
+	b := newGated(t, target1(1, "a"))
+	g, port := b.f.services["s"].gate, uint16(0)
+	if b.spread(10*time.Second, &port, 4); g.ends.unlimited || g.ends.total > 0 {
+		t.Fatalf("ends %+v although all were seen", g.ends)
+	}
+	if b.spread(15*time.Second, &port, 1); !g.ends.unlimited {
+		t.Fatalf("ends %+v, with a quarter seen", g.ends)
+	}
+	if held := b.spread(5*time.Second, &port, 1); held > 0 {
+		t.Errorf("%d openings held while the gate limits nothing", held)
+	}
+	if s := b.f.GateStats()[0]; !s.Unlimited || s.UnseenEnds != g.ends.total || s.UnseenEnds == 0 {
+		t.Errorf("statistics %+v", s)
+	}
+	if b.spread(4*time.Second, &port, 4); !g.ends.unlimited {
+		t.Errorf("limits again after ends %+v: no hysteresis", g.ends)
+	}
+	if b.spread(10*time.Second, &port, 4); g.ends.unlimited {
+		t.Errorf("ends %+v after all were seen for 14 s", g.ends)
+	}
+	b.fill(placesPerTarget)
+	b.want(b.handle(packet(60000, streams, SYN, 0)), HeldOpening)
+}
+
+// All targets die at once with requests in flight, and their callers retransmit. The gate must go
+// on limiting, or the targets that replace them would be overloaded.
+func TestDeadTargetsKeepTheLimit(t *testing.T) {
+	b := newGated(t, target1(1, "a"), target1(2, "a"))
+	g := b.f.services["s"].gate
+	for range 3 {
+		ids := b.fill(2 * placesPerTarget)
+		for range 3 {
+			b.pass(400 * time.Millisecond)
+			for i, id := range ids {
+				b.sendRequest(uint16(i+1), streams, id, 101, 1000)
+			}
+		}
+		b.pass(maxBusyTime)
+		b.wantInFlight(0)
+		for i := range ids {
+			b.f.forget(packet(uint16(i+1), streams, 0, 0).Flow())
+		}
+	}
+	if g.ends.unlimited || g.ends.total > 0 {
+		t.Errorf("ends %+v", g.ends)
+	}
+}
+
+// Requests that take longer than maxBusyTime end late, but their ends are seen. The gate must go
+// on limiting.
+func TestLateEndsKeepTheLimit(t *testing.T) {
+	b := newGated(t, target1(1, "a"))
+	g := b.f.services["s"].gate
+	for range 5 {
+		ids := b.fill(placesPerTarget)
+		b.pass(maxBusyTime + 100*time.Millisecond)
+		for i, id := range ids {
+			b.answer(uint16(i+1), id)
+			b.handle(packet(uint16(i+1), streams, RST, id.Cookie()))
+		}
+		b.pass(100 * time.Millisecond)
+		if g.ends.unlimited || g.ends.unseen > 0.1 {
+			t.Errorf("ends %+v, want all seen late", g.ends)
+		}
+	}
+	if g.ends.total == 0 {
+		t.Errorf("no place has expired")
+	}
+}
--- a/internal/direct/flow.go
+++ b/internal/direct/flow.go
@@ -22,7 +22,8 @@
 	maxAck      uint32        // highest acknowledgement of the target's data
 	answer      pendingAnswer
 	place       place
-	held        *held // packets that wait for a place
+	expiredAt   *serviceGate // where its latest place ended unseen
+	held        *held        // packets that wait for a place
 }
 
 // after reports whether sequence number a comes after b, allowing for wraparound.
--- a/internal/direct/observe.go
+++ b/internal/direct/observe.go
@@ -85,6 +85,7 @@
 		f.finishRequest(now, fl)
 	}
 	if s.Flags.Has(FIN) || s.Flags.Has(RST) {
+		fl.countEnd()
 		f.closeFlow(fl)
 	}
 }
@@ -97,6 +98,7 @@
 	fl.maxAck = s.Ack
 	if fl.pending {
 		f.recordAnswerTime(now, fl, s)
+		fl.countEnd()
 		f.completePlace(now, fl, now-fl.requestedAt)
 	}
 	if fl.answer.open {
@@ -171,6 +173,7 @@
 func (f *Forwarder) expire(now time.Duration) {
 	for k, fl := range f.flows {
 		if now-fl.lastSeen > f.retention(fl) {
+			f.expirePlace(fl)
 			f.forget(k)
 		}
 	}
--- a/internal/direct/overdue.go
+++ b/internal/direct/overdue.go
@@ -93,7 +93,7 @@
 	for w, ok := f.busyRequests.pop(now - maxBusyTime); ok; w, ok = f.busyRequests.pop(now - maxBusyTime) {
 		if !w.flow.removed && w.flow.requestedAt == w.since {
 			f.endBusy(w.flow)
-			f.abandonPlace(w.flow)
+			f.expirePlace(w.flow)
 		}
 	}
 }
--- a/internal/direct/shares.go
+++ b/internal/direct/shares.go
@@ -28,7 +28,7 @@
 	// sharesPause is the minimum time between two updates of shares. It bounds their cost
 	// while many targets are suspected at once.
 	sharesPause = 10 * time.Millisecond
-	// unlimitedShare is the share of pools of a gate that is not active.
+	// unlimitedShare is the share of pools of a gate that limits nothing.
 	unlimitedShare = 1 << 20
 )
 
@@ -117,7 +117,7 @@
 		}
 	}
 	gr.share = float64(RequestsPerSlot*slots) / float64(f.position.balancers)
-	if g.active {
+	if g.limits() {
 		g.SetPool(gr.pool, gr.share)
 	} else {
 		g.SetPool(gr.pool, unlimitedShare)
--- a/internal/edge/admission.go
+++ b/internal/edge/admission.go
@@ -35,6 +35,8 @@
 type gateTotals struct {
 	admitted, queued, rejected, forced [admission.Priorities]uint64
 	waiting, places, inFlight          int
+	unlimited                          int // gates that limit nothing, because ends are unseen
+	unseenEnds                         uint64
 }
 
 func newGateMetrics(e *Edge, m *metrics.Collector) *gateMetrics {
@@ -80,6 +82,8 @@
 	}
 	m.Gauge("admission_waiting"+suffix, g.level(name, func(t *gateTotals) int { return t.waiting }))
 	m.Gauge("admission_places"+suffix, g.level(name, func(t *gateTotals) int { return t.places }))
+	m.Gauge("admission_unlimited"+suffix, g.level(name, func(t *gateTotals) int { return t.unlimited }))
+	m.Counter("admission_unseen_ends"+suffix, g.counter(name, func(t *gateTotals) uint64 { return t.unseenEnds }))
 	m.Gauge("admission_in_flight"+suffix, g.level(name, func(t *gateTotals) int { return t.inFlight }))
 }
 
@@ -141,6 +145,10 @@
 		t.forced[p] += s.Forced[p]
 		t.waiting += s.Waiting[p]
 	}
+	t.unseenEnds += s.UnseenEnds
+	if s.Unlimited {
+		t.unlimited++
+	}
 	for _, p := range s.Pools {
 		t.places += p.Places
 		t.inFlight += p.InFlight
