--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -19,9 +19,9 @@
 	goalReserve = 6
 	// minWaitShare is the smallest share of the goal for which a request may wait.
 	minWaitShare = 0.25
-	// unknownWaitShare is that share until the usual response time is known. With minWaitShare, a
-	// balancer with four places rejected openings at half of the load that the slots can serve,
-	// while its places were taken by requests that took seven times as long as others.
+	// unknownWaitShare is that share until the usual response time is known. With minWaitShare, one
+	// of 200 balancers, with four places, rejected an opening at half of the load that the slots
+	// can serve.
 	unknownWaitShare = 0.5
 )
 
--- a/internal/direct/longestwait_test.go
+++ b/internal/direct/longestwait_test.go
@@ -6,8 +6,8 @@
 )
 
 // Until the usual response time is known, an opening must be allowed to wait for half of its
-// goal: a balancer with few places that start with long requests rejected openings in a quiet
-// hour.
+// goal: with a quarter, a balancer with four places rejected openings at half of the load that the
+// slots can serve.
 func TestLongestWait(t *testing.T) {
 	b := newGated(t, target1(1, "a"))
 	r := b.f.catalogue.Routes[streams]
