--- a/internal/edge/complaint_test.go
+++ b/internal/edge/complaint_test.go
@@ -155,3 +155,64 @@
 		t.Error("the metrics have no histogram of answers")
 	}
 }
+
+// A caller reports that its payment was refused. Far more openings come at once than the gate's
+// queue holds. A refused caller's log line must name the overload and no target; the status, the
+// counters and the line on the saturated service must show the limit that was reached.
+func TestComplaintRefused(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	b := d.balancers[0]
+	const callers = 600 // more than wait at most
+	results := make(chan error, callers)
+	for range callers {
+		go func() {
+			_, err := d.caller.Open(previews, b.boot.Data)
+			results <- err
+		}()
+	}
+	var saturated core.GateInfo
+	d.eventually(2*time.Second, "the status shows a saturated gate that rejects", func() bool {
+		var s Status
+		b.get(t, StatusPath, nil, &s)
+		for _, g := range s.Gates {
+			if g.Service == "catalogue" && g.Saturated && g.Waiting > 0 && len(g.Counts) > 0 && g.Counts[0].Rejected > 0 {
+				saturated = g
+				return true
+			}
+		}
+		return false
+	})
+	if p := saturated.Pools[0]; saturated.Counts[0].Priority != 1 || p.DataCenter != "a" || p.Places == 0 || p.InFlight == 0 {
+		t.Errorf("gate %+v", saturated)
+	}
+	d.eventually(2*time.Second, "the saturated service is logged", func() bool {
+		lines := b.lines(t, "service saturated")
+		return len(lines) > 0 && lines[0]["service"] == "catalogue"
+	})
+	refused := 0
+	for range callers {
+		if err := <-results; errors.Is(err, direct.ErrReset) {
+			refused++
+		}
+	}
+	if refused == 0 {
+		t.Fatal("no caller was refused")
+	}
+	var line map[string]any
+	for _, l := range b.lines(t, "flow") {
+		if l["outcome"] == "reset_overload" {
+			line = l
+			break
+		}
+	}
+	if _, ok := line["waited"]; !ok || line["target"] != "0" { // 0: none
+		t.Errorf("line of a refused opening: %v", line)
+	}
+	for _, name := range []string{"rosedale_packets_reset_overload", "rosedale_admission_rejected_catalogue_p1"} {
+		d.eventually(3*time.Second, name+" counts refusals", func() bool {
+			page := metricsPage(t, b)
+			return strings.Contains(page, name+" ") && !strings.Contains(page, name+" 0\n")
+		})
+	}
+}
