--- a/internal/direct/market_test.go
+++ b/internal/direct/market_test.go
@@ -57,6 +57,8 @@
 	simRefusal = 60 * time.Millisecond
 	// simRoom is how long a target may have a free slot while openings are rejected.
 	simRoom = 100 * time.Millisecond
+	// simQuiet is how long demand is low before the counted calls.
+	simQuiet = 3 * time.Second
 	// simOverrun is how long demand goes on after the counted calls.
 	simOverrun = 500 * time.Millisecond
 	// burstDuesShare is the share of dues when demand rises evenly: 330 of 1,485 requests a
@@ -67,7 +69,11 @@
 // newMarket returns a replay with the market's routes, where 3 % of the requests are long. With
 // unequal, its targets run at 0.6, 1 and 1.6 of the normal speed, dealt round robin.
 func newMarket(seed uint64, balancers, targets []int, unequal bool) *replay {
-	r := newReplay(seed, balancers, targets)
+	return newMarketWithout(seed, balancers, targets, unequal, 0)
+}
+
+func newMarketWithout(seed uint64, balancers, targets []int, unequal bool, without MechanismSet) *replay {
+	r := newReplayWithout(seed, balancers, targets, without)
 	route := func(host string, p Route, work, worth, late float64) *marketRoute {
 		p.Address = netip.AddrPortFrom(netip.MustParseAddr(host), 443)
 		p.Backends = []Backend{{"s", 1}}
@@ -242,25 +248,24 @@
 	}
 }
 
-// burst counts the calls of so many seconds of a demand, by data centre, after 3 s at half of
-// the slots, in which the balancers learn the normal response times. Demand goes on for
+// burst counts the calls of so many seconds of a demand, by data centre, after simQuiet at
+// half of the slots, in which the balancers learn the normal response times. Demand goes on for
 // simOverrun more, so that the last counted calls find no more room than the others.
 func (r *replay) burst(length time.Duration, factor ...func(time.Duration) float64) {
-	const quiet = 3 * time.Second
 	for c, f := range factor {
-		r.demand(c, quiet+length+simOverrun, func(now time.Duration) float64 {
-			if now < quiet {
+		r.demand(c, simQuiet+length+simOverrun, func(now time.Duration) float64 {
+			if now < simQuiet {
 				return 0.5
 			}
 			return f(now)
 		})
 	}
-	r.run(quiet)
+	r.run(simQuiet)
 	r.market.counting = true
 	r.sum.busiest, r.sum.mean, r.checks = 0, 0, 0
-	r.run(quiet + length)
+	r.run(simQuiet + length)
 	r.market.counting = false
-	r.run(quiet + length + simOverrun + 2*time.Second)
+	r.run(simQuiet + length + simOverrun + 2*time.Second)
 }
 
 // total returns the counts of a route over all data centres.
--- a/internal/direct/replay_test.go
+++ b/internal/direct/replay_test.go
@@ -20,8 +20,11 @@
 	byID      map[TargetID]*simTarget
 	centres   int
 	nextPort  uint32
-	retries   int // maximum number of retries of a request
-	perFlow   int // mean number of requests on a long flow; 0 for no limit
+	// flows are the callers' flows by key, to deliver resets that balancers send without a packet
+	// of the flow.
+	flows   map[FlowKey]*simFlow
+	retries int // maximum number of retries of a request
+	perFlow int // mean number of requests on a long flow; 0 for no limit
 	// nonIdempotent makes callers use the route with non-idempotent requests, which they do
 	// not retry once their flow is open.
 	nonIdempotent bool
@@ -70,6 +73,7 @@
 	f      *Forwarder
 	centre int
 	held   map[FlowKey][]func(Decision) // what to do with held packets once they are released
+	filter *filter                      // admission before the Forwarder; nil for none
 }
 
 type simTarget struct {
@@ -146,7 +150,7 @@
 
 // newReplayWithout is newReplay with some features of the balancers turned off.
 func newReplayWithout(seed uint64, balancers, targets []int, without MechanismSet) *replay {
-	r := &replay{rng: rand.New(rand.NewPCG(seed, 9)), byID: map[TargetID]*simTarget{}, centres: len(targets), goal: 150 * time.Millisecond, retries: 2, workFactor: 1}
+	r := &replay{rng: rand.New(rand.NewPCG(seed, 9)), byID: map[TargetID]*simTarget{}, flows: map[FlowKey]*simFlow{}, centres: len(targets), goal: 150 * time.Millisecond, retries: 2, workFactor: 1}
 	cat := &Catalogue{
 		Version: 1,
 		Routes: map[netip.AddrPort]Route{
@@ -269,13 +273,9 @@
 	r.sum.mean += float64(total) / float64(len(r.targets))
 }
 
-// openFlows holds the callers' flows by key, to deliver resets that balancers send without a
-// packet of the flow.
-var openFlows = map[FlowKey]*simFlow{}
-
 // reset delivers such a reset to the caller.
 func (r *replay) reset(k FlowKey) {
-	if fl := openFlows[k]; fl != nil {
+	if fl := r.flows[k]; fl != nil {
 		r.after(simCaller, func() { r.breakFlow(fl) })
 	}
 }
--- a/internal/direct/replayflow_test.go
+++ b/internal/direct/replayflow_test.go
@@ -32,7 +32,7 @@
 		fl.seg.Address = q.call.route.Address
 	}
 	q.flow = fl
-	openFlows[fl.seg.Flow()] = fl
+	r.flows[fl.seg.Flow()] = fl
 	r.opened++
 	r.syn(fl)
 	for i, d := range []time.Duration{200 * time.Millisecond, 600 * time.Millisecond} {
@@ -65,7 +65,7 @@
 // send passes a packet of a flow to its balancer. arrived is called when the packet reaches its
 // target; it is nil if nothing depends on that.
 func (r *replay) send(fl *simFlow, s *Segment, arrived func(*simTarget)) {
-	d := fl.b.f.Handle(r.now, s)
+	d := fl.b.handle(r.now, fl, s)
 	switch {
 	case d.Verb == Hold:
 		r.keep(fl, s, arrived)
