--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Builds and runs everything with the Go toolchain alone.
 
-.PHONY: build demo test lint measure capacity soak clean
+.PHONY: build demo test lint measure capacity load-curve soak clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -32,6 +32,10 @@
 capacity: build
 	bin/standin capacity
 
+# Goodput by load of a replay with and without admission, as rows and a plot.
+load-curve:
+	LOAD_CURVE_DIR=$(CURDIR)/docs/capacity go test -count=1 -v ./internal/direct -run '^TestLoadCurve$$'
+
 # Injects random faults into balancers that run as real processes, with the regression
 # seeds of test/soak and SEEDS new random ones.
 SEEDS ?= 50
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -3,16 +3,9 @@
 import (
 	"path/filepath"
 
-	"github.com/pkg/errors"
-	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
-)
 
-const (
-	plotWidth  = 12 * vg.Centimeter
-	plotHeight = 8 * vg.Centimeter
+	"rosedale.dev/rosedale/internal/chart"
 )
 
 // plotCapacity draws the measured rows as points joined by lines.
@@ -39,15 +32,9 @@
 }
 
 func drawLine(file, title, x, y string, rows []capacityRow, fx, fy func(capacityRow) float64) error {
-	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
-	p.X.Min, p.Y.Min = 0, 0
 	var xy plotter.XYs
 	for _, r := range rows {
 		xy = append(xy, plotter.XY{X: fx(r), Y: fy(r)})
 	}
-	if err := plotutil.AddLinePoints(p, "", xy); err != nil {
-		return errors.Wrap(err, "plot")
-	}
-	return errors.Wrap(p.Save(plotWidth, plotHeight, file), "plot")
+	return chart.DrawLines(file, title, x, y, chart.Series{Points: xy})
 }
