--- a/internal/standin/direct/caller.go
+++ b/internal/standin/direct/caller.go
@@ -12,6 +12,7 @@
 var (
 	ErrReset   = errors.New("flow was reset")
 	ErrTimeout = errors.New("no answer before the timeout")
+	ErrNotRun  = errors.New("target did not run the request")
 )
 
 // Caller is a stand-in caller. It opens flows from one address, each from a port of
@@ -90,7 +91,8 @@
 // Open opens a flow to a service address through a balancer. As callers of the platform
 // do, it sends the opening up to three times, each time with the number of earlier copies
 // in the acknowledgement field. It waits 200, 400 and 800 ms for an answer, and returns
-// ErrTimeout if there is none or ErrReset if the flow is refused.
+// ErrTimeout if there is none or ErrReset if the flow is refused. With ErrReset it also
+// returns the refused flow, whose Local address identifies it in the balancers' logs.
 func (c *Caller) Open(to, via netip.AddrPort) (*Flow, error) {
 	c.mu.Lock()
 	c.port++
@@ -106,7 +108,7 @@
 			continue
 		}
 		if err != nil {
-			return nil, err
+			return fl, err
 		}
 		fl.seq++
 		fl.targetISN = received.h.seq
@@ -130,7 +132,8 @@
 }
 
 // Ask sends a request and returns its answer. It retransmits the request with
-// increasing intervals until the timeout, and then returns ErrTimeout.
+// increasing intervals until the timeout, and then returns ErrTimeout. It returns
+// ErrNotRun if the target answered that it did not run the request.
 func (fl *Flow) Ask(body string, timeout time.Duration) (string, error) {
 	return fl.AskVia(body, timeout, func() netip.AddrPort { return fl.Via })
 }
@@ -166,6 +169,9 @@
 			fl.ack += uint32(len(received.body))
 			fl.echo = received.h.echo
 			fl.send(header{seq: fl.seq, ack: fl.ack, hasAck: true}, nil)
+			if received.body == notRun {
+				return "", ErrNotRun
+			}
 			return received.body, nil
 		}
 		if time.Now().After(end) {
--- a/internal/standin/direct/runlog.go
+++ b/internal/standin/direct/runlog.go
@@ -24,6 +24,13 @@
 	l.runs[body] = append(l.runs[body], run)
 }
 
+// Has reports whether a request was executed.
+func (l *RunLog) Has(body string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.runs[body]) > 0
+}
+
 // Repeated returns the bodies of requests that were executed more than once, each with
 // the target, its start and the time of every execution.
 func (l *RunLog) Repeated() map[string][]string {
--- a/internal/standin/direct/target.go
+++ b/internal/standin/direct/target.go
@@ -47,6 +47,7 @@
 	mu    sync.Mutex
 	start uint32                            // number of the present start
 	flows map[[2]netip.AddrPort]*targetFlow // by caller and service address; nil after Stop
+	slots *slots                            // of the present start; nil if requests are not limited
 }
 
 // NewTarget starts a target at addr, registers it in the store and sends its answers
@@ -80,6 +81,9 @@
 	t.mu.Lock()
 	t.udp, t.tcp, t.srv, t.flows = udp, tcp, srv, map[[2]netip.AddrPort]*targetFlow{}
 	t.start++
+	if t.slots != nil {
+		t.slots = newSlots(t.Reg.Slots)
+	}
 	t.mu.Unlock()
 	go func() { _ = srv.Serve(tcp) }() // returns after Stop
 	go t.serve(udp)
@@ -181,14 +185,23 @@
 		delete(t.flows, key)
 	case len(body) > 0 && h.seq == fl.nextSeq:
 		fl.nextSeq += uint32(len(body))
-		t.Ran.Add(1)
-		if t.Log != nil {
-			t.Log.add(body, t)
+		if t.slots != nil {
+			t.handleLimited(h, fl, body)
+			return
 		}
+		t.recordRun(body)
 		go t.execute(h, fl, body)
 	}
 }
 
+// recordRun counts and logs that a request begins to run. t.mu is held.
+func (t *Target) recordRun(body string) {
+	t.Ran.Add(1)
+	if t.Log != nil {
+		t.Log.add(body, t)
+	}
+}
+
 // answerOpening answers an opening. A further copy of it gets the same answer and
 // leaves the flow as it is.
 func (t *Target) answerOpening(key [2]netip.AddrPort, h header) {
@@ -212,14 +225,18 @@
 // execute waits for the duration of a request and answers it once.
 func (t *Target) execute(h header, fl *targetFlow, body string) {
 	time.Sleep(time.Duration(t.workTime.Load()))
+	t.answer(h, fl, strings.TrimSpace(body)+" by "+t.Name())
+}
+
+// answer sends the answer to a request, if its flow is still open.
+func (t *Target) answer(h header, fl *targetFlow, text string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.flows == nil || t.flows[[2]netip.AddrPort{h.src, h.dst}] != fl {
 		return // the flow has ended or the target has stopped
 	}
-	answer := []byte(strings.TrimSpace(body) + " by " + t.Name())
-	t.send(h, header{seq: fl.sendSeq, ack: fl.nextSeq, hasAck: true}, answer)
-	fl.sendSeq += uint32(len(answer))
+	t.send(h, header{seq: fl.sendSeq, ack: fl.nextSeq, hasAck: true}, []byte(text))
+	fl.sendSeq += uint32(len(text))
 }
 
 // send sends a packet in answer to one with the header received.
--- a/internal/standin/direct/target_test.go
+++ b/internal/standin/direct/target_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
 	"testing"
@@ -102,3 +103,37 @@
 		t.Errorf("requests that ran more than once: %v", runs)
 	}
 }
+
+// Guards against a target that runs more than its slots and its queue hold, or that runs a
+// request after it has answered that it did not.
+func TestRequestsBeyondTheQueueAreNotRun(t *testing.T) {
+	x := newBareTarget(t)
+	x.LimitSlots()
+	x.SetWork(300 * time.Millisecond) // longer than maxNotRunDelay
+	fits := x.Reg.Slots + queueLength
+	var h header
+	for i := range fits + 1 {
+		o := opening
+		o.src = netip.AddrPortFrom(o.src.Addr(), uint16(2000+i))
+		accept, _ := x.exchange(o, "")
+		h = request(accept)
+		h.src = o.src
+		if i < fits {
+			x.handlePacket(h, fmt.Sprint("note", i))
+		}
+	}
+	if _, answer := x.exchange(h, "excess"); answer != notRun {
+		t.Errorf("answer %q to the request beyond the queue, want %q", answer, notRun)
+	}
+	if n := x.Ran.Load(); n > int64(x.Reg.Slots) {
+		t.Errorf("%d requests run at a time, want at most %d", n, x.Reg.Slots)
+	}
+	for end := time.Now().Add(5 * time.Second); x.IdleTime() == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("target does not become idle")
+		}
+	}
+	if n := x.Ran.Load(); n != int64(fits) || x.Log.Has("excess") {
+		t.Errorf("%d requests have run, want %d without the one beyond the queue", n, fits)
+	}
+}
