Soak: overload, unequal and slow targets, priorities, longer evacuations

Cause: no run with real processes shows what callers get when a service has too few slots. The catalogue has a goal, a timeout and a priority for each route. An evacuation beside faults lasts up to 4.5 s, so that balancers step back.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -15,8 +15,16 @@
 	previews = netip.MustParseAddrPort("198.18.0.1:443") // requests may run twice
 	notes    = netip.MustParseAddrPort("198.18.0.2:443") // requests must run at most once
 	extra    = netip.MustParseAddrPort("198.18.0.3:443") // route is added and removed during the faults
+	// Routes that only overloads use.
+	urgentPreviews = netip.MustParseAddrPort("198.18.0.4:443")
+	archive        = netip.MustParseAddrPort("198.18.0.5:443")
 )
 
+// serviceOf has the service of each route.
+var serviceOf = map[netip.AddrPort]string{
+	previews: "catalogue", urgentPreviews: "catalogue", extra: "catalogue", notes: "scan-store", archive: "scan-store",
+}
+
 // runCaller runs one caller, which opens flows one after another and sends one to
 // eight requests on each.
 func (w *world) runCaller(rng, late *rand.Rand, id int) {
@@ -30,8 +38,11 @@
 	c.LateCopy = w.lateCopies(late)
 	for n := 0; !w.stopping.Load(); n++ {
 		to := []netip.AddrPort{previews, notes}[rng.IntN(2)]
-		fl, err := c.Open(to, w.chooseBalancer(rng))
+		fl, err := c.Open(to, w.chooseBalancer(rng).data())
 		if err != nil {
+			if errors.Is(err, direct.ErrReset) {
+				w.noteRejection(fl, to, fmt.Sprintf("c%d-%d-0", id, n))
+			}
 			w.lost.Add(1)
 			time.Sleep(20 * time.Millisecond)
 			continue
@@ -48,7 +59,7 @@
 
 // chooseBalancer chooses a balancer as the platform's routers do: a ready one, or any
 // if less than half are ready.
-func (w *world) chooseBalancer(rng *rand.Rand) netip.AddrPort {
+func (w *world) chooseBalancer(rng *rand.Rand) *node {
 	var up []*node
 	for _, n := range w.nodes {
 		if n.ready.Load() {
@@ -58,30 +69,41 @@
 	if len(up) < len(w.nodes)/2 {
 		up = w.nodes
 	}
-	return netip.AddrPortFrom(up[rng.IntN(len(up))].addr, dataPort)
+	return up[rng.IntN(len(up))]
 }
 
 // sendRequest sends one request on an open flow through newly chosen balancers and
 // checks the answer. It returns false if the request failed.
 func (w *world) sendRequest(rng *rand.Rand, fl *direct.Flow, to netip.AddrPort, body string) bool {
 	w.sent.Add(1)
-	w.callerOf.Store(body, fl.Local())
-	fl.Via = w.chooseBalancer(rng)
-	answer, err := fl.AskVia(body, 4*time.Second, func() netip.AddrPort { return w.chooseBalancer(rng) })
-	if err != nil {
+	if w.ask(fl, to, body, 4*time.Second, func() netip.AddrPort { return w.chooseBalancer(rng).data() }) != nil {
 		w.lost.Add(1)
-		w.checkReset(fl, err, body)
 		return false
 	}
 	w.answered.Add(1)
+	return true
+}
+
+// ask sends one request on an open flow, through the balancer that via returns for each
+// transmission, and checks the outcome.
+func (w *world) ask(fl *direct.Flow, to netip.AddrPort, body string, timeout time.Duration, via func() netip.AddrPort) error {
+	w.callerOf.Store(body, fl.Local())
+	answer, err := fl.AskVia(body, timeout, via)
+	if errors.Is(err, direct.ErrNotRun) {
+		w.noteRejection(fl, to, body)
+	}
+	if err != nil {
+		w.checkReset(fl, err, body)
+		return err
+	}
 	got, name, _ := strings.Cut(answer, " by ")
 	if got != body {
 		w.t.Errorf("request %s got the answer of %s", body, got)
 	}
-	if x := w.target(name); x == nil || x.service != map[netip.AddrPort]string{previews: "catalogue", notes: "scan-store"}[to] {
+	if x := w.target(name); x == nil || x.service != serviceOf[to] {
 		w.t.Errorf("request %s to %v was answered by %s", body, to, name)
 	}
-	return true
+	return nil
 }
 
 // checkReset checks that a flow was reset only because its target, or the start of the
@@ -98,9 +120,7 @@
 
 // targetOf returns the target that a flow's cookie names, or nil.
 func (w *world) targetOf(fl *direct.Flow) *tracked {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, x := range w.targets {
+	for _, x := range *w.known.Load() {
 		if uint32(x.ID) == fl.Cookie() {
 			return x
 		}
@@ -110,9 +130,7 @@
 
 // target returns the target with a name, or nil.
 func (w *world) target(name string) *tracked {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, x := range w.targets {
+	for _, x := range *w.known.Load() {
 		if x.Name() == name {
 			return x
 		}
@@ -143,10 +161,9 @@
 			w.t.Errorf("balancer %s has ended by itself: %v", n.addr, n.cmd.ProcessState)
 			continue
 		}
-		via := netip.AddrPortFrom(n.addr, dataPort)
 		for i := range 12 {
 			to := []netip.AddrPort{previews, notes, extra}[i%3]
-			fl, err := c.Open(to, via)
+			fl, err := c.Open(to, n.data())
 			if err == nil {
 				_, err = fl.Ask("settled", 2*time.Second)
 				fl.Close()
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -215,13 +215,17 @@
 	return x
 }
 
+// maxEvacuation bounds the time of an evacuation beside faults. The balancers of an
+// evacuated data centre step back after 2 s.
+const maxEvacuation = 4500 * time.Millisecond
+
 // toggleEvacuation repeatedly evacuates data centre b and takes it back, in parallel to the
 // faults. It has a random generator of its own, so that a seed always gives the same faults.
 func (w *world) toggleEvacuation(r *rand.Rand, until time.Time) {
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(500+r.IntN(2500)) * time.Millisecond)
 		w.setEvacuated(true)
-		time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
+		time.Sleep(time.Duration(r.IntN(int(maxEvacuation))))
 		w.setEvacuated(false)
 	}
 }
--- a/test/soak/latecopies_test.go
+++ b/test/soak/latecopies_test.go
@@ -20,6 +20,6 @@
 		if rng.IntN(lateEvery) > 0 {
 			return 0, netip.AddrPort{}, false
 		}
-		return time.Duration(rng.Int64N(int64(maxCopyDelay))), w.chooseBalancer(rng), true
+		return time.Duration(rng.Int64N(int64(maxCopyDelay))), w.chooseBalancer(rng).data(), true
 	}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -81,6 +81,8 @@
 	if os.Getenv("SOAK_OLD") == "" { // older versions do not support eras
 		background.Go(func() { w.restoreBackups(rand.New(rand.NewPCG(seed, 9)), end) })
 	}
+	background.Go(func() { w.repeatOverloads(rand.New(rand.NewPCG(seed, 10)), end) })
+	background.Go(func() { w.slowTargets(rand.New(rand.NewPCG(seed, 11)), end) })
 	for time.Now().Before(end) {
 		w.injectFault(rng)
 		time.Sleep(time.Duration(rng.IntN(600)) * time.Millisecond)
@@ -89,8 +91,12 @@
 	background.Wait()
 	evacuated := w.evacuate()
 	time.Sleep(settleTime)
+	if os.Getenv("SOAK_OLD") == "" { // older versions do not limit the load of targets
+		w.checkOverload(rand.New(rand.NewPCG(seed, 12)))
+	}
 	w.stopCallers()
 	w.checkRecovered(evacuated)
+	w.checkRejections()
 	t.Logf("seed %d: %d requests, %d answered, %d lost with their target or balancer; faults: %v",
 		seed, w.sent.Load(), w.answered.Load(), w.lost.Load(), w.faultCounts)
 	if t.Failed() {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -39,6 +40,8 @@
 	mu      sync.Mutex
 	nodes   []*node
 	targets []*tracked
+	// known is a copy of targets. Callers read it without mu, which faults hold for seconds.
+	known   atomic.Pointer[[]*tracked]
 	version int  // of the desired state
 	extra   bool // the extra route is in the desired state
 	// evacuated is set while data centre b is evacuated.
@@ -51,6 +54,11 @@
 	callerOf    sync.Map     // callers' addresses (netip.AddrPort) by request body
 	traced      atomic.Int64 // flows whose log lines were requested
 
+	rejectionsMu sync.Mutex
+	rejections   []rejection
+	loadCallers  []*direct.Caller // of overloads
+	loadRequests atomic.Int64     // of overloads; gives each a body of its own
+
 	// Requests sent and answered, and requests and openings that failed.
 	sent, answered, lost atomic.Int64
 }
@@ -101,6 +109,14 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(w.store.Close)
+	for i := range 4 {
+		c, err := direct.NewCaller(w.ip(1, 50+i), dataPort)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(c.Close)
+		w.loadCallers = append(w.loadCallers, c)
+	}
 	w.changeCatalogue()
 	for range targetsPerService {
 		w.addTarget("catalogue")
@@ -129,7 +145,11 @@
 	}
 	w.t.Cleanup(x.Stop)
 	x.Log = &w.ran
+	x.LimitSlots()
+	x.SetWork(workTime(n))
 	w.targets = append(w.targets, &tracked{Target: x, service: service, dataCenter: dataCenter(n)})
+	known := slices.Clone(w.targets)
+	w.known.Store(&known)
 }
 
 func (w *world) addNode(i int) {
@@ -191,6 +211,9 @@
 	})
 }
 
+// data returns the address at which a balancer receives callers' packets.
+func (n *node) data() netip.AddrPort { return netip.AddrPortFrom(n.addr, dataPort) }
+
 // running reports whether a balancer's process has not ended.
 func (n *node) running() bool {
 	select {
@@ -232,9 +255,16 @@
 
 // putCatalogue writes the current desired state, with or without the extra route.
 func (w *world) putCatalogue() {
-	routes := []direct.Route{{Address: previews, Service: "catalogue"}, {Address: notes, Service: "scan-store", AtMostOnce: true}}
+	routes := []direct.Route{
+		{Address: urgentPreviews, AtMostOnce: true}, {Address: previews, Priority: 2},
+		{Address: notes, AtMostOnce: true, Priority: 1}, {Address: archive, Priority: 2},
+	}
 	if w.extra {
-		routes = append(routes, direct.Route{Address: extra, Service: "catalogue"})
+		routes = append(routes, direct.Route{Address: extra, Priority: 1})
+	}
+	for i := range routes {
+		r := &routes[i]
+		r.Service, r.Goal, r.Timeout = serviceOf[r.Address], goal, timeout
 	}
 	w.store.PutCatalogue(w.version, routes...)
 }
