--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -140,6 +140,7 @@
 	c.post(func() {
 		c.leaving = true
 		c.stopAnnouncements = stopAnnouncements
+		c.stepBack.Stop()
 		c.announceStopIfDue(c.now())
 	})
 }
