Soak: trace the flows that fail after an overload

Cause: a failed check of the service after an overload named no flow. Change: Caller.Open returns the flow with each error, and checkOverload prints the balancers' log lines about the first flows that fail. An overload of a service without usable targets sends nothing. Measured: go test -count=1 ./internal/architecture ./internal/standin/direct ./internal/edgedemo ./internal/edge passes.

--- a/internal/standin/direct/caller.go
+++ b/internal/standin/direct/caller.go
@@ -91,8 +91,8 @@
 // Open opens a flow to a service address through a balancer. As callers of the platform
 // do, it sends the opening up to three times, each time with the number of earlier copies
 // in the acknowledgement field. It waits 200, 400 and 800 ms for an answer, and returns
-// ErrTimeout if there is none or ErrReset if the flow is refused. With ErrReset it also
-// returns the refused flow, whose Local address identifies it in the balancers' logs.
+// ErrTimeout if there is none or ErrReset if the flow is refused. With an error it also
+// returns the flow, whose Local address identifies it in the balancers' logs.
 func (c *Caller) Open(to, via netip.AddrPort) (*Flow, error) {
 	c.mu.Lock()
 	c.port++
@@ -117,7 +117,7 @@
 		fl.send(header{seq: fl.seq, ack: fl.ack, hasAck: true}, nil)
 		return fl, nil
 	}
-	return nil, ErrTimeout
+	return fl, ErrTimeout
 }
 
 // sendLateCopy sends a further copy of an opening later, if the caller's LateCopy
--- a/test/soak/overload_test.go
+++ b/test/soak/overload_test.go
@@ -90,6 +90,9 @@
 	load := workloads[r.IntN(len(workloads))]
 	slots := w.usableSlots(load.service)
 	urgent, lesser = &tally{}, &tally{}
+	if slots == 0 {
+		return urgent, lesser
+	}
 	until := time.Now().Add(d)
 	var callers sync.WaitGroup
 	run := func(n int, to netip.AddrPort, t *tally) {
@@ -141,7 +144,7 @@
 func (w *world) requestWithRetries(rng *rand.Rand, c *direct.Caller, to netip.AddrPort) (time.Duration, error) {
 	began := time.Now()
 	for i := 1; ; i++ {
-		err := w.requestOnNewFlow(rng, c, to)
+		_, err := w.requestOnNewFlow(rng, c, to)
 		if !isRejection(err) || i == maxAttempts {
 			return time.Since(began), err
 		}
@@ -149,8 +152,9 @@
 }
 
 // requestOnNewFlow sends a request on a flow of its own. All packets of the flow pass through
-// one balancer while that is ready, as the platform's routers hash by flow.
-func (w *world) requestOnNewFlow(rng *rand.Rand, c *direct.Caller, to netip.AddrPort) error {
+// one balancer while that is ready, as the platform's routers hash by flow. It also returns
+// the flow's address at the caller.
+func (w *world) requestOnNewFlow(rng *rand.Rand, c *direct.Caller, to netip.AddrPort) (netip.AddrPort, error) {
 	body := fmt.Sprintf("l%d", w.loadRequests.Add(1))
 	n := w.chooseBalancer(rng)
 	via := func() netip.AddrPort {
@@ -162,13 +166,13 @@
 	fl, err := c.Open(to, via())
 	if errors.Is(err, direct.ErrReset) {
 		w.noteRejection(fl, to, body)
-		return errRefused
+		return fl.Local(), errRefused
 	}
 	if err != nil {
-		return err
+		return fl.Local(), err
 	}
 	defer fl.Close()
-	return w.ask(fl, to, body, timeout, via)
+	return fl.Local(), w.ask(fl, to, body, timeout, via)
 }
 
 // repeatOverloads overloads the deployment repeatedly, in parallel to the faults. Only what
@@ -213,8 +217,12 @@
 	for range 10 {
 		for _, to := range []netip.AddrPort{previews, notes, urgentPreviews, archive} {
 			began := time.Now()
-			err := w.requestOnNewFlow(r, w.loadCallers[0], to)
+			caller, err := w.requestOnNewFlow(r, w.loadCallers[0], to)
 			t.count(time.Since(began), err)
+			if err != nil {
+				w.t.Logf("request to %v from %v: %v", to, caller, err)
+				w.trace(caller)
+			}
 		}
 	}
 	if !t.served() || t.rejected.Load()+t.failed.Load() > 0 {
