--- a/internal/direct/overdue_test.go
+++ b/internal/direct/overdue_test.go
@@ -41,6 +41,7 @@
 	cat.Routes[streams] = r
 	cat.IdleTimeout = time.Hour
 	c.f.SetCatalogue(cat)
+	c.f.SetBalancers("b", nil) // no other balancer shares the targets, so that nothing waits
 	for port := uint16(1); len(c.ids) < n; port++ {
 		id := c.openFlow(port, streams)
 		if slices.Contains(c.ids, id) {
