--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -16,8 +16,8 @@
 
 	// quickRatio is the relative response time below which targets do not queue.
 	quickRatio = 1.5
-	// slowRatio is the relative response time above which the share is reduced. Two requests
-	// per slot, which is the intended load, give about 2.
+	// slowRatio is the relative response time above which the share is reduced. Three
+	// requests per slot, which is the intended load, give up to 3.
 	slowRatio = 3
 	// slowFarRatio is the relative response time up to which another data centre never counts
 	// as full.
@@ -87,6 +87,11 @@
 	return p.speed.at(now) < ratio && (p.answered || p.inFlight == 0)
 }
 
+// wasBelow is isBelow at any time between two ticks.
+func (p *pool) wasBelow(now time.Duration, ratio float64) bool {
+	return p.speed.at(now) < ratio && (now-p.speed.last <= maxGap || p.inFlight == 0)
+}
+
 // adjustFactor follows the answers while all places are taken, and returns to normal else.
 func (p *pool) adjustFactor(now time.Duration) {
 	switch {
