direct: requests whose ends are not seen give their places back sooner at a saturated gate

At a saturated gate such a place is given back after six times the usual time, or after the route's goal while that time is unknown, if the target has shown life since and there is no evidence against it. Times are scaled by the saturation ratio; unsaturated services are served as before.

--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -33,6 +33,7 @@
 	active   bool // a route with a goal leads to the service; otherwise nothing is limited
 	speeds   *speed.Tracker
 	ends     ends
+	heldTime float64                           // median in nanoseconds; see learnHeldTime
 	waiting  int                               // held openings and requests; see held
 	stale    bool                              // the shares may have changed since sharedAt
 	sharedAt time.Duration                     // when the shares were set
@@ -166,6 +167,7 @@
 // given up.
 func (f *Forwarder) tickGates(now time.Duration) {
 	f.expireHeld(now)
+	f.expirePlaces(now)
 	for _, g := range f.gates {
 		g.ends.update(now)
 		g.stale = true
--- a/internal/direct/ends.go
+++ b/internal/direct/ends.go
@@ -15,6 +15,10 @@
 	// and begins again.
 	unseenShare    = 0.5
 	seenAgainShare = 0.25
+	// placeTimeoutFactor times the median for which places are held, and tailMargin times the tail
+	// of the response times, is how long a request keeps its place at a saturated gate if its end
+	// is not seen.
+	placeTimeoutFactor = 6
 )
 
 // ends counts how requests give their places back. If the network spreads the packets of a flow
@@ -57,12 +61,89 @@
 	fl.expiredAt = nil
 }
 
+// expirePlaces gives places of saturated gates back whose requests have probably ended unseen.
+//
+// Such a place hinders other requests only while places are short. Where a balancer had two places
+// and sees the ends of most requests, a few of the others held both of them for maxBusyTime each,
+// and openings waited and were rejected while all targets were idle.
+func (f *Forwarder) expirePlaces(now time.Duration) {
+	if !f.shortOfPlaces(now) {
+		return
+	}
+	q := &f.busyRequests
+	for _, w := range q.list[q.head:] {
+		if w.since > now-minAnswerTimeout {
+			return
+		}
+		fl := w.flow
+		g := fl.place.gate
+		if g == nil || fl.removed || fl.requestedAt != w.since || !g.limits() || !g.Saturated(now) {
+			continue
+		}
+		if now-w.since > f.placeTimeout(fl) && fl.place.target.showsLifeSince(w.since) {
+			f.expirePlace(fl)
+		}
+	}
+}
+
+// shortOfPlaces reports whether a limit of some gate was reached recently.
+func (f *Forwarder) shortOfPlaces(now time.Duration) bool {
+	for _, g := range f.gates {
+		if g.limits() && g.Saturated(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// placeTimeout returns how long a request keeps its place at a saturated gate if its end is not
+// seen. A request that takes longer after all is beyond the limit for the rest of its time.
+//
+// Until the route's response time is known, it is the route's goal: a balancer that had just
+// started learnt nothing, as requests with unseen ends held its two places for most of the time.
+func (f *Forwarder) placeTimeout(fl *flow) time.Duration {
+	b := f.baselineOf(fl.key.Address)
+	if b.samples < minSamples {
+		return f.goalOrBusyTime(fl)
+	}
+	g := fl.place.gate
+	longest := max(float64(minAnswerTimeout), placeTimeoutFactor*max(b.medianTime, g.heldTime), tailMargin*b.tailTime)
+	return min(time.Duration(longest*g.service.saturationRatio()), maxBusyTime)
+}
+
+// goalOrBusyTime returns the goal of the flow's route, or maxBusyTime if that is shorter or there is
+// no goal.
+func (f *Forwarder) goalOrBusyTime(fl *flow) time.Duration {
+	if f.catalogue == nil {
+		return maxBusyTime
+	}
+	if goal := f.catalogue.Routes[fl.key.Address].Goal; goal > 0 {
+		return min(goal, maxBusyTime)
+	}
+	return maxBusyTime
+}
+
+// learnHeldTime updates the median of the times for which places are held until the end of their
+// request is seen. It includes the time from an opening to its request.
+func (g *serviceGate) learnHeldTime(held time.Duration) {
+	x := max(float64(held), float64(minLongTermTime))
+	if g.heldTime == 0 {
+		g.heldTime = x
+	}
+	g.heldTime = moveMedian(g.heldTime, x, medianStep)
+}
+
+// showsLifeSince reports whether the target has shown life since a time and there is no evidence
+// against it.
+func (t *target) showsLifeSince(since time.Duration) bool {
+	return t.lastAlive > since && !t.dead && t.stalls == 0 && t.failedChecks == 0
+}
+
 // expirePlace gives the place of a flow back of which nothing was seen for long. This counts as
 // an unseen end only if the target has shown life meanwhile and there is no evidence against it:
 // requests at a target that has died or cannot be reached have no end.
 func (f *Forwarder) expirePlace(fl *flow) {
-	t := fl.place.target
-	if g := fl.place.gate; g != nil && t.lastAlive > fl.requestedAt && !t.dead && t.stalls == 0 && t.failedChecks == 0 {
+	if g := fl.place.gate; g != nil && fl.place.target.showsLifeSince(fl.requestedAt) {
 		g.ends.unseen++
 		g.ends.total++
 		fl.expiredAt = g
--- a/internal/direct/ends_test.go
+++ b/internal/direct/ends_test.go
@@ -108,3 +108,64 @@
 		t.Errorf("no place has expired")
 	}
 }
+
+// passAlive lets time pass while the targets show life, and returns the releases.
+func (b *fixture) passAlive(d time.Duration) map[uint16]Decision {
+	out := map[uint16]Decision{}
+	for end := b.now + d; b.now < end; {
+		b.showAllAlive(0)
+		for port, d := range b.pass(100 * time.Millisecond) {
+			out[port] = d
+		}
+	}
+	return out
+}
+
+// The ends of some requests pass other balancers, and these requests hold all places of this one.
+// Openings must not wait for maxBusyTime while the targets answer.
+func TestUnseenEndsAtASaturatedGate(t *testing.T) {
+	for _, known := range []bool{true, false} { // the usual response time, of 20 ms
+		b := newGated(t, target1(1, "a"))
+		within := goalCatalogue().Routes[streams].Goal + 200*time.Millisecond
+		if known {
+			b.learnUsualTime()
+			within = 400 * time.Millisecond
+		}
+		b.fill(placesPerTarget)
+		b.want(b.handle(packet(99, streams, SYN, 0)), HeldOpening)
+		if d := b.passAlive(within)[99]; d.Verb != Forward {
+			t.Errorf("response time known %v: opening %v after %v, want forwarded", known, d, within)
+		}
+	}
+}
+
+// Requests at a target that may have died, and requests that take several times as long as usual,
+// must keep their places, and so must all while the gate is not saturated.
+func TestPlacesOfRequestsUnderWay(t *testing.T) {
+	for name, run := range map[string]func(*fixture){
+		"retransmission in vain": func(b *fixture) {
+			ids := b.fill(placesPerTarget)
+			b.want(b.handle(packet(99, streams, SYN, 0)), HeldOpening)
+			b.now += 200 * time.Millisecond
+			b.sendRequest(1, streams, ids[0], 101, 1000)
+			b.pass(time.Second)
+		},
+		"long request": func(b *fixture) {
+			b.fill(placesPerTarget)
+			b.want(b.handle(packet(99, streams, SYN, 0)), HeldOpening)
+			b.passAlive(100 * time.Millisecond)
+		},
+		"not saturated": func(b *fixture) {
+			b.fill(placesPerTarget - 1)
+			b.passAlive(time.Second)
+			b.openFlow(placesPerTarget, streams)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newGated(t, target1(1, "a"))
+			b.learnUsualTime()
+			run(b)
+			b.wantInFlight(placesPerTarget)
+		})
+	}
+}
--- a/internal/direct/places.go
+++ b/internal/direct/places.go
@@ -13,6 +13,7 @@
 	gate   *serviceGate
 	pool   admission.Pool
 	target *target // whose places it counts among
+	since  time.Duration
 }
 
 // attachPlace gives a place to a flow. Its pool follows the flow's target. Without a flow, which
@@ -26,6 +27,7 @@
 		f.abandonPlace(fl)
 		fl.place = p
 		fl.place.target = fl.target
+		fl.place.since = f.clock
 		fl.target.places++
 		fl.updatePool()
 	}
@@ -66,6 +68,7 @@
 func (f *Forwarder) completePlace(now time.Duration, fl *flow, took time.Duration) {
 	if p := fl.detachPlace(); p.gate != nil {
 		p.gate.Done(now, p.pool, took)
+		p.gate.learnHeldTime(now - p.since)
 	}
 }
 
