--- a/internal/direct/ends.go
+++ b/internal/direct/ends.go
@@ -134,9 +134,10 @@
 }
 
 // showsLifeSince reports whether the target has shown life since a time and there is no evidence
-// against it.
+// against it. An answered check counts too: while requests with unseen ends hold all places of a
+// balancer, no packet may show life of their targets.
 func (t *target) showsLifeSince(since time.Duration) bool {
-	return t.lastAlive > since && !t.dead && t.stalls == 0 && t.failedChecks == 0
+	return max(t.lastAlive, t.answeredAt) > since && !t.dead && t.stalls == 0 && t.failedChecks == 0
 }
 
 // expirePlace gives the place of a flow back of which nothing was seen for long. This counts as
--- a/internal/direct/ends_test.go
+++ b/internal/direct/ends_test.go
@@ -139,6 +139,28 @@
 	}
 }
 
+// Requests with unseen ends hold all places, so that no packet shows life of their target. Its answer
+// to a check must give the places back.
+func TestAnsweredCheckGivesPlacesBack(t *testing.T) {
+	b := newGated(t, target1(1, "a"))
+	b.learnUsualTime()
+	ids := b.fill(placesPerTarget)
+	b.want(b.handle(packet(99, streams, SYN, 0)), HeldOpening)
+	b.now += 300 * time.Millisecond
+	b.sendRequest(1, streams, ids[0], 101, 1000) // a retransmission causes the check
+	if checks := b.f.TargetsToCheck(b.now); len(checks) != 1 {
+		t.Fatalf("checks %v, want one", checks)
+	}
+	if d := b.pass(100 * time.Millisecond)[99]; d.Verb == Forward {
+		t.Errorf("opening %v before the answer", d)
+	}
+	b.f.Checked(b.now, Start{ID: ids[0]}, Alive)
+	if d := b.pass(100 * time.Millisecond)[99]; d.Verb != Forward {
+		t.Errorf("opening %v after the answer, want forwarded", d)
+	}
+	b.wantInFlight(1)
+}
+
 // Requests at a target that may have died, and requests that take several times as long as usual,
 // must keep their places, and so must all while the gate is not saturated.
 func TestPlacesOfRequestsUnderWay(t *testing.T) {
--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -172,6 +172,7 @@
 	if x == Alive || x.unanswered() && t.lastAlive > t.checkedAt {
 		t.clearSuspicion()
 		if x == Alive {
+			t.answeredAt = t.checkedAt
 			t.recordLife(now)
 		}
 		return CheckResult{}
--- a/internal/direct/targetstate.go
+++ b/internal/direct/targetstate.go
@@ -45,6 +45,7 @@
 	linkProbe    bool // the check is one of this balancer's own link
 	checkRunning bool
 	checkedAt    time.Duration // start of the latest check
+	answeredAt   time.Duration // start of the latest check that was answered
 	failedChecks int           // consecutive failed checks; a peer's may be the first, and Hung counts as two
 	finding      Finding       // of the latest check
 	dead         bool          // confirmed by checks
