--- a/internal/direct/ends.go
+++ b/internal/direct/ends.go
@@ -66,6 +66,8 @@
 // Such a place hinders other requests only while places are short. Where a balancer had two places
 // and sees the ends of most requests, a few of the others held both of them for maxBusyTime each,
 // and openings waited and were rejected while all targets were idle.
+//
+// Life shown right after a request was sent says little: a target may have died since.
 func (f *Forwarder) expirePlaces(now time.Duration) {
 	if !f.shortOfPlaces(now) {
 		return
@@ -80,7 +82,8 @@
 		if g == nil || fl.removed || fl.requestedAt != w.since || !g.limits() || !g.Saturated(now) {
 			continue
 		}
-		if now-w.since > f.placeTimeout(fl) && fl.place.target.showsLifeSince(w.since) {
+		timeout := f.placeTimeout(fl)
+		if now-w.since > timeout && fl.place.target.showsLifeSince(w.since+timeout/2) {
 			f.expirePlace(fl)
 		}
 	}
