--- a/internal/standin/direct/caller.go
+++ b/internal/standin/direct/caller.go
@@ -12,8 +12,15 @@
 var (
 	ErrReset   = errors.New("flow was reset")
 	ErrTimeout = errors.New("no answer before the timeout")
+	ErrNotRun  = errors.New("target did not run the request")
 )
 
+// resetWindow is how far the sequence number of a reset may be from the caller's last
+// acknowledgement. Callers of the platform ignore other resets on an open flow, such as one
+// that answers a late copy of the opening: its sequence number is that of the copy's
+// acknowledgement field, 0 to 2.
+const resetWindow = 76_800
+
 // Caller is a stand-in caller. It opens flows from one address, each from a port of
 // its own.
 type Caller struct {
@@ -38,6 +45,7 @@
 	Via       netip.AddrPort
 	seq       uint32 // of the next data to send
 	ack       uint32 // next sequence number expected from the target
+	open      bool   // the target has accepted the flow
 	echo      uint32 // cookie from the last packet received, repeated in each packet sent
 	targetISN uint32 // the target's initial sequence number
 	received  chan receivedPacket
@@ -90,7 +98,8 @@
 // Open opens a flow to a service address through a balancer. As callers of the platform
 // do, it sends the opening up to three times, each time with the number of earlier copies
 // in the acknowledgement field. It waits 200, 400 and 800 ms for an answer, and returns
-// ErrTimeout if there is none or ErrReset if the flow is refused.
+// ErrTimeout if there is none or ErrReset if the flow is refused. With an error it also
+// returns the flow, whose Local address identifies it in the balancers' logs.
 func (c *Caller) Open(to, via netip.AddrPort) (*Flow, error) {
 	c.mu.Lock()
 	c.port++
@@ -106,16 +115,17 @@
 			continue
 		}
 		if err != nil {
-			return nil, err
+			return fl, err
 		}
 		fl.seq++
+		fl.open = true
 		fl.targetISN = received.h.seq
 		fl.ack = received.h.seq + 1
 		fl.echo = received.h.echo
 		fl.send(header{seq: fl.seq, ack: fl.ack, hasAck: true}, nil)
 		return fl, nil
 	}
-	return nil, ErrTimeout
+	return fl, ErrTimeout
 }
 
 // sendLateCopy sends a further copy of an opening later, if the caller's LateCopy
@@ -130,7 +140,8 @@
 }
 
 // Ask sends a request and returns its answer. It retransmits the request with
-// increasing intervals until the timeout, and then returns ErrTimeout.
+// increasing intervals until the timeout, and then returns ErrTimeout. It returns
+// ErrNotRun if the target answered that it did not run the request.
 func (fl *Flow) Ask(body string, timeout time.Duration) (string, error) {
 	return fl.AskVia(body, timeout, func() netip.AddrPort { return fl.Via })
 }
@@ -166,6 +177,9 @@
 			fl.ack += uint32(len(received.body))
 			fl.echo = received.h.echo
 			fl.send(header{seq: fl.seq, ack: fl.ack, hasAck: true}, nil)
+			if received.body == notRun {
+				return "", ErrNotRun
+			}
 			return received.body, nil
 		}
 		if time.Now().After(end) {
@@ -189,18 +203,31 @@
 	delete(fl.c.flows, fl.port)
 }
 
+// receive returns the next packet, with ErrReset if it is a reset, or ErrTimeout. Resets that
+// callers of the platform ignore are skipped.
 func (fl *Flow) receive(wait time.Duration) (receivedPacket, error) {
-	select {
-	case received := <-fl.received:
-		if received.h.rst {
-			return received, ErrReset
+	end := time.After(wait)
+	for {
+		select {
+		case received := <-fl.received:
+			switch {
+			case !received.h.rst:
+				return received, nil
+			case fl.acceptsReset(received.h):
+				return received, ErrReset
+			}
+		case <-end:
+			return receivedPacket{}, ErrTimeout
 		}
-		return received, nil
-	case <-time.After(wait):
-		return receivedPacket{}, ErrTimeout
 	}
 }
 
+// acceptsReset reports whether a reset ends the flow.
+func (fl *Flow) acceptsReset(h header) bool {
+	distance := int32(h.seq - fl.ack) // sequence numbers wrap
+	return !fl.open || -resetWindow <= distance && distance <= resetWindow
+}
+
 func (fl *Flow) send(h header, body []byte) { fl.sendVia(fl.Via, fl.echo, h, body) }
 
 func (fl *Flow) sendVia(via netip.AddrPort, echo uint32, h header, body []byte) {
