--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -97,6 +97,7 @@
 	w.stopCallers()
 	w.checkRecovered(evacuated)
 	w.checkRejections()
+	w.reportOverload()
 	t.Logf("seed %d: %d requests, %d answered, %d lost with their target or balancer; faults: %v",
 		seed, w.sent.Load(), w.answered.Load(), w.lost.Load(), w.faultCounts)
 	if t.Failed() {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -58,6 +58,8 @@
 	rejections   []rejection
 	loadCallers  []*direct.Caller // of overloads
 	loadRequests atomic.Int64     // of overloads; gives each a body of its own
+	// overloadFailures are the failed checks of the service under overload.
+	overloadFailures []string
 
 	// Requests sent and answered, and requests and openings that failed.
 	sent, answered, lost atomic.Int64
