admission, speed, stepback: clearer comments and names

Comments say what a constant is for and when a function is to be called; the condition in openingFree is a switch; estimate.left is weight, history.out is servicesOut. No change of behaviour.

--- a/internal/admission/factor.go
+++ b/internal/admission/factor.go
@@ -12,9 +12,10 @@
 	// unless they are less than a quarter of those it counts.
 	maxFactor factor = 4
 
-	raiseBy factor = 1.1
-	lowerBy factor = 0.9
-	relaxBy factor = 0.02 // step back to normal at each tick
+	// Changes at each tick of 100 ms.
+	raiseBy factor = 1.1  // multiplier while the answers are quick
+	lowerBy factor = 0.9  // multiplier while they are slow
+	relaxBy factor = 0.02 // step towards normalFactor
 )
 
 func (f factor) raise() factor { return min(f*raiseBy, maxFactor) }
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -20,7 +20,7 @@
 	turn      turn
 	least     leastUrgent
 	rate      rate
-	review    bool // waiting openings may have become hopeless
+	review    bool // Next is to look for waiting openings that cannot be served in time; see hopeless
 
 	limited    bool          // a limit has been reached
 	limitedAt  time.Duration // last time
@@ -90,7 +90,7 @@
 	}
 }
 
-// Take counts a request that was sent without asking.
+// Take counts a request that was sent without calling Arrive.
 func (g *Gate[K]) Take(_ time.Duration, p Pool) {
 	g.pool(p).add()
 	g.stats.Taken++
@@ -103,7 +103,7 @@
 	g.pool(to).add()
 }
 
-// Done frees a place after an answer that took so long.
+// Done frees a place after an answer with the given response time.
 func (g *Gate[K]) Done(now time.Duration, p Pool, took time.Duration) {
 	q := g.pool(p)
 	q.pace.took = max(took, 0)
@@ -120,7 +120,7 @@
 	q.answered = true
 }
 
-// Tick adjusts the places; every 100 ms.
+// Tick adjusts the places. It is to be called every 100 ms.
 func (g *Gate[K]) Tick(now time.Duration) {
 	h := &g.pools[home]
 	full := h.usable() && !g.homeFree(now)
@@ -137,7 +137,7 @@
 // reach records that a limit is reached.
 func (g *Gate[K]) reach(now time.Duration) { g.limited, g.limitedAt = true, now }
 
-// Saturated reports whether a limit was reached in the last two seconds.
+// Saturated reports whether requests wait or a limit was reached in the last saturatedFor.
 func (g *Gate[K]) Saturated(now time.Duration) bool {
 	return !g.waiting.empty() || g.limited && now-g.limitedAt <= saturatedFor
 }
--- a/internal/admission/places.go
+++ b/internal/admission/places.go
@@ -129,8 +129,12 @@
 
 // openingFree reports whether an opening could use pool p now.
 func (g *Gate[K]) openingFree(now time.Duration, p Pool, urgent bool) bool {
-	if p == home || g.homeFree(now) {
-		return p == home && (g.homeFree(now) || !g.anyUsable)
+	free := g.homeFree(now)
+	switch {
+	case p == home:
+		return free || !g.anyUsable
+	case free:
+		return false // the opening is served in pool 0
 	}
 	return int(p) < len(g.pools) && g.pools[p].hasFree(now, g.openingPlaces(p, urgent))
 }
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -22,8 +22,8 @@
 	// slowFarRatio is the relative response time up to which another data centre never counts
 	// as full.
 	slowFarRatio = 1.8
-	// soonerFar times the relative response time here is that below which another data centre
-	// has room. Openings go where they are answered sooner, so that a data centre with 2.3
+	// soonerFar times the relative response time of the own data centre is the one below which
+	// another data centre has room. Openings go where they are answered sooner, so that a data centre with 2.3
 	// times the demand of its slots can use others up to 0.9 of theirs, whose answers then take
 	// 1.5 to 1.8 times as long as normal.
 	soonerFar = 0.75
@@ -71,7 +71,8 @@
 
 func (p *pool) add() { p.inFlight++ }
 
-// remove frees a place. A surplus call is ignored, so that it cannot raise the limit.
+// remove frees a place. A call without a place taken is ignored, so that it cannot raise the
+// limit.
 func (p *pool) remove(now time.Duration) {
 	p.inFlight = max(p.inFlight-1, 0)
 	if s := p.adjusted(); s > 0 && s < 1 {
@@ -79,20 +80,24 @@
 	}
 }
 
-// isQuick reports whether the answers show that the targets do not queue. Requests in flight
-// without any answer since the last tick show nothing: the targets may be unreachable.
+// isQuick reports whether the answers show that the targets do not queue.
 func (p *pool) isQuick(now time.Duration) bool { return p.isBelow(now, quickRatio) }
 
+// isBelow reports whether the relative response time is below ratio. Requests in flight without
+// any answer since the last tick show nothing: the targets may be unreachable. It is to be called
+// at ticks, before answered is cleared.
 func (p *pool) isBelow(now time.Duration, ratio float64) bool {
 	return p.speed.at(now) < ratio && (p.answered || p.inFlight == 0)
 }
 
-// wasBelow is isBelow at any time between two ticks.
+// wasBelow is isBelow for calls between two ticks, when answered covers only a part of an
+// interval: an answer within maxGap counts instead.
 func (p *pool) wasBelow(now time.Duration, ratio float64) bool {
 	return p.speed.at(now) < ratio && (now-p.speed.last <= maxGap || p.inFlight == 0)
 }
 
-// adjustFactor follows the answers while all places are taken, and returns to normal else.
+// adjustFactor raises or lowers the factor by the answers while all places are taken, and moves it
+// back towards normal otherwise.
 func (p *pool) adjustFactor(now time.Duration) {
 	switch {
 	case !p.usable() || p.hasFree(now, p.places()):
@@ -121,7 +126,8 @@
 // times the demand of its slots rejected 26,411 openings in 6 s beside free slots elsewhere.
 const farSteps = 2
 
-// farLoss is the percentage of its places that a far pool loses at a tick with slow answers.
-// Places that pool 0 makes unnecessary end in the same way, because a pool 0 that is full at
-// most ticks would otherwise start from none again and again. They are not used in between.
+// farLoss is the percentage of its places that a far pool loses, rounded up, at a tick with slow
+// answers, and at a tick at which pool 0 has a free place. In the second case the places are not
+// taken away at once, so that a pool 0 that is full at most ticks does not start from none each
+// time.
 const farLoss = 30
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// queue lets a request wait, unless that is of no use. free says that a place is free which an
-// earlier request gets first.
+// queue decides about a request that cannot be admitted at once: it waits, is rejected, or is
+// admitted beyond the limit. free means that a place is free, which an earlier request gets first.
 func (g *Gate[K]) queue(now time.Duration, r *Request[K], free bool) (Verdict, Pool) {
 	w := g.waiting.waiterOf(now, r)
 	if !free {
@@ -44,7 +44,8 @@
 }
 
 // evictFor makes room for w in a full queue: the last opening of the least urgent priority is
-// rejected. It returns false if that would be w, or if there is none.
+// moved to g.evicted, and Next returns it as rejected. evictFor returns false if that opening
+// would be w, or if there is none.
 func (g *Gate[K]) evictFor(now time.Duration, w *waiter[K]) bool {
 	i := g.waiting.lastOpening()
 	if i < 0 || !w.established && w.compare(g.waiting.list[i].rank) > 0 {
--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// rateBuckets buckets of bucketTime are the half second in which admissions are counted.
+	// Admissions are counted in rateBuckets intervals of bucketTime each, half a second in all.
 	rateBuckets = 10
 	bucketTime  = 50 * time.Millisecond
 	// minRateTime is how long openings must have been waiting before a rate is known. Earlier
--- a/internal/admission/stats.go
+++ b/internal/admission/stats.go
@@ -18,7 +18,7 @@
 	Forced   [Priorities]uint64 // admitted beyond the limit
 	Lesser   uint64             // admitted by lesserShare
 	Canceled uint64
-	Taken    uint64 // sent without asking
+	Taken    uint64 // sent without calling Arrive
 }
 
 // PoolStats describes a pool.
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -47,8 +47,8 @@
 func New() *Tracker { return &Tracker{targets: map[uint64]*estimate{}} }
 
 // Answered takes in the response time of one answer of a target relative to the route's usual
-// one. Failed, short and missing answers are to be reported as slow, with a ratio of 5, so that
-// fast failures do not look like speed.
+// one. Failed, short and missing answers are to be reported with a ratio of at least maxRatio, so
+// that fast failures do not look like speed.
 func (t *Tracker) Answered(now time.Duration, id uint64, ratio float64) {
 	if math.IsNaN(ratio) {
 		return
@@ -65,11 +65,11 @@
 		t.targets[id] = e
 		t.sum += e.ratio
 	}
-	left := e.left(now)
-	current := e.current(t.mean(), left)
+	weight := e.weight(now)
+	current := e.current(t.mean(), weight)
 	current += (min(max(ratio, minRatio), maxRatio) - current) * answerWeight
 	t.sum += current - e.ratio
-	*e = estimate{ratio: current, answers: e.answers*left + 1, at: max(now, e.at)}
+	*e = estimate{ratio: current, answers: e.answers*weight + 1, at: max(now, e.at)}
 }
 
 // Ratio returns the estimate of a target. Without answers it returns to the mean of all
@@ -79,7 +79,7 @@
 	if e == nil {
 		return t.mean()
 	}
-	return e.current(t.mean(), e.left(now))
+	return e.current(t.mean(), e.weight(now))
 }
 
 // Known returns how many answers of a target the estimate rests on, decaying like the
@@ -89,7 +89,7 @@
 	if e == nil {
 		return 0, 0
 	}
-	return e.answers * e.left(now), max(now-e.at, 0)
+	return e.answers * e.weight(now), max(now-e.at, 0)
 }
 
 // Forget removes a target, as after a restart.
@@ -122,9 +122,10 @@
 	}
 }
 
-// left returns the remaining weight of an estimate, from 1 down to 0.
-func (e *estimate) left(now time.Duration) float64 {
+// weight returns the remaining weight of an estimate, from 1 at its last answer down to 0.
+func (e *estimate) weight(now time.Duration) float64 {
 	return math.Exp(-max(now-e.at, 0).Seconds() / timeConstant.Seconds())
 }
 
-func (e *estimate) current(mean, left float64) float64 { return mean + (e.ratio-mean)*left }
+// current returns the ratio of an estimate that has the given remaining weight.
+func (e *estimate) current(mean, weight float64) float64 { return mean + (e.ratio-mean)*weight }
--- a/internal/stepback/history.go
+++ b/internal/stepback/history.go
@@ -47,9 +47,9 @@
 	h.spans = slices.DeleteFunc(h.spans, func(s span) bool { return now-s.begin > maxOutage })
 }
 
-// out returns the services whose openings found no target that answered, if these were more
-// than half of all openings. It evaluates all periods of minOutage to maxOutage that end now.
-func (h *history) out(now time.Duration) []string {
+// servicesOut returns the services whose openings found no target that answered, if these were
+// more than half of all openings. It evaluates all periods of minOutage to maxOutage that end now.
+func (h *history) servicesOut(now time.Duration) []string {
 	for i, s := range h.spans {
 		if now-s.end < minOutage {
 			break
@@ -61,8 +61,8 @@
 	return nil
 }
 
-// failures counts the openings of one service in a period that found no target, if the
-// service is out.
+// failures counts the openings of one service in a period that count as having found no target
+// if no target of the service has shown life since: those reset and those forwarded.
 type failures struct {
 	count int
 	first time.Duration // end of the first span with any
--- a/internal/stepback/stepback.go
+++ b/internal/stepback/stepback.go
@@ -107,7 +107,7 @@
 	history  history
 
 	reason   Reason
-	since    time.Duration // when Reason became NoTarget
+	since    time.Duration // when reason became NoTarget
 	services []string      // services concerned
 	checks   checks
 }
@@ -115,7 +115,7 @@
 // Start begins the time in which the balancer does not step back.
 func (d *Decider) Start(now time.Duration) { d.started = now }
 
-// Stop ends all changes and checks, as the balancer stops as planned.
+// Stop makes ticks change nothing and begin no checks, because the balancer is stopping.
 func (d *Decider) Stop() { d.stopping = true }
 
 // Heard records a heartbeat of another balancer of the own data centre.
@@ -163,7 +163,7 @@
 			return NoTarget, d.services
 		}
 	case None:
-		services := d.history.out(now)
+		services := d.history.servicesOut(now)
 		if len(services) > 0 && otherServes(v, services) && d.mayStepBack(now, v) {
 			return NoTarget, services
 		}
