direct, edge: clearer comments and names

openingPatience is callerTimeout, stepBackIfUseless is updateStepBack; doc comments say what maxTailTimeout limits and why copies of the replica wait for a slot. No change of behaviour.

--- a/internal/direct/admission.go
+++ b/internal/direct/admission.go
@@ -13,7 +13,7 @@
 	// maxWaitWithoutGoal is how long a request of a route without a goal waits, if its service
 	// has a gate because of another route.
 	maxWaitWithoutGoal = 100 * time.Millisecond
-	// goalReserve times the usual response time is the part of the goal that is kept for the
+	// goalReserve times the usual response time is the part of the goal that is reserved for the
 	// request itself: with three requests per slot it takes about three times as long as usual,
 	// and the queues of targets vary.
 	goalReserve = 6
--- a/internal/direct/ends.go
+++ b/internal/direct/ends.go
@@ -44,8 +44,8 @@
 // limits reports whether the gate limits requests.
 func (g *serviceGate) limits() bool { return g.active && !g.ends.unlimited }
 
-// countEnd counts an end of a request that a packet shows. If its place has expired before, it
-// was wrong to count the end as unseen.
+// countEnd counts an end of a request that a packet shows. If its place has expired before, the
+// end was counted as unseen, which is taken back.
 func (fl *flow) countEnd() {
 	switch g := fl.place.gate; {
 	case g != nil:
@@ -57,8 +57,8 @@
 	fl.expiredAt = nil
 }
 
-// expirePlace gives the place of a flow back of which nothing was seen for long. This counts as
-// an unseen end only if the target has shown life meanwhile and there is no evidence against it:
+// expirePlace gives back the place of a flow of which nothing has been seen for long. This counts
+// as an unseen end only if the target has shown life meanwhile and there is no evidence against it:
 // requests at a target that has died or cannot be reached have no end.
 func (f *Forwarder) expirePlace(fl *flow) {
 	t := fl.place.target
--- a/internal/direct/held.go
+++ b/internal/direct/held.go
@@ -9,8 +9,8 @@
 const (
 	// MaxHeldPackets is the maximum number of packets of one flow that are held.
 	MaxHeldPackets = 16
-	// openingPatience is how long after its first opening packet a caller gives up.
-	openingPatience = 1400 * time.Millisecond
+	// callerTimeout is how long after its first opening packet a caller gives up.
+	callerTimeout = 1400 * time.Millisecond
 	// copyTimeout is how long after an opening its first copy arrives at the latest. Callers
 	// send it after 200 ms.
 	copyTimeout = 250 * time.Millisecond
@@ -45,11 +45,11 @@
 // its caller has given up. A copy of an opening that this balancer does not know is dropped
 // after its wait, as it must not be rejected; see rejectionOf.
 func (f *Forwarder) holdOpening(now time.Duration, g *serviceGate, s *Segment, maxWait time.Duration) Decision {
-	patience := openingPatience
+	hold := callerTimeout
 	if s.Ack > 0 {
-		patience = min(maxWait, openingPatience)
+		hold = min(maxWait, callerTimeout)
 	}
-	f.hold(&held{gate: g, expires: now + patience, packets: []Segment{*s}})
+	f.hold(&held{gate: g, expires: now + hold, packets: []Segment{*s}})
 	return Decision{Verb: Hold, Reason: HeldOpening}
 }
 
@@ -97,7 +97,7 @@
 		return Decision{Verb: Drop, Reason: DroppedWaiting}
 	}
 	h.packets[0] = *s
-	h.expires = now + openingPatience
+	h.expires = now + callerTimeout
 	return Decision{Verb: Hold, Reason: HeldOpening}
 }
 
--- a/internal/direct/held_test.go
+++ b/internal/direct/held_test.go
@@ -86,7 +86,7 @@
 // opening must not be sent later, as the target would open a flow without a caller.
 func TestHeldOpeningOfACallerThatGaveUp(t *testing.T) {
 	for name, after := range map[string]func(*fixture) map[uint16]Decision{
-		"patience":         func(b *fixture) map[uint16]Decision { return b.pass(openingPatience + 100*time.Millisecond) },
+		"caller timeout":   func(b *fixture) map[uint16]Decision { return b.pass(callerTimeout + 100*time.Millisecond) },
 		"reset":            func(b *fixture) map[uint16]Decision { b.handle(packet(99, streams, RST, 0)); return b.releases() },
 		"opened elsewhere": func(b *fixture) map[uint16]Decision { b.handle(packet(99, streams, ACK, 1)); return b.releases() },
 	} {
--- a/internal/direct/timeout.go
+++ b/internal/direct/timeout.go
@@ -54,8 +54,7 @@
 // overdueTimeout returns how long a request of a route may be in flight, without any sign of
 // life from its target, before the target is checked. On routes with a goal this is
 // requestTimeout times the saturation ratio, and on a long-tailed route at least tailMargin times
-// the tail of the response times. Routes without a goal have requestTimeout, so that deployments that set no
-// goals are served as before.
+// the tail of the response times. While the service is not saturated, maxTailTimeout limits both. Routes without a goal have requestTimeout.
 //
 // A request that takes long and a request in a queue are no evidence against a target, and each
 // check takes a slot. Where 3 % of the requests took seven times as long, each of these caused a
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -209,7 +209,7 @@
 	c.logOutliers(outlierChanges)
 	c.checkSuspects(ctx, now)
 	c.yieldIfOutnumbered(now)
-	c.stepBackIfUseless(ctx, now)
+	c.updateStepBack(ctx, now)
 	if c.ticks%maintenanceTicks == 0 {
 		c.forgetUnregistered()
 		c.writeSourcesIfDue(ctx, now)
--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -72,8 +72,8 @@
 // data centre and to the relays of the others, as often as stopAnnouncements says. In a small
 // one the regular heartbeats repeat it.
 //
-// Without this, a balancer of a large fleet announced its stop with its next regular heartbeat,
-// which most balancers never send, and the others took it for a live one or a lost one.
+// In a large fleet most balancers send no regular heartbeats. Without the announcements, others
+// would take a stopping balancer for a live one or a lost one.
 func (c *control) announceStopIfDue(now time.Duration) {
 	if c.stopAnnouncements == 0 {
 		return
--- a/internal/edge/servechanges.go
+++ b/internal/edge/servechanges.go
@@ -172,9 +172,9 @@
 // replica's, and nil if there is no replica yet. If mayCopy is false, it returns
 // errNeedsCopy instead of all items.
 //
-// Guards against balancers that lag behind this one's history, as many do at once after the
-// store has compacted its own. Copies sent to them without a slot would share a slow link
-// with those of starting balancers, and all would arrive late.
+// Many balancers may lag behind this one's history at once, as after the store has compacted
+// its own. Copies sent to them without a slot would share a slow link with those of starting
+// balancers, and all would arrive late.
 func (c *control) changes(after, era int64, mayCopy bool) (*peer.Changes, error) {
 	if !c.replica.Loaded() {
 		return nil, nil
--- a/internal/edge/stepback.go
+++ b/internal/edge/stepback.go
@@ -10,9 +10,9 @@
 	"rosedale.dev/rosedale/internal/stepback"
 )
 
-// stepBackIfUseless makes the routers use another data centre while this one is evacuated or
+// updateStepBack makes the routers use another data centre while this one is evacuated or
 // this balancer reaches no target. Package stepback decides.
-func (c *control) stepBackIfUseless(ctx context.Context, now time.Duration) {
+func (c *control) updateStepBack(ctx context.Context, now time.Duration) {
 	if c.edge.without.Has(direct.StepBack) {
 		return
 	}
