direct: a held opening is not reset while another balancer may have forwarded a copy

Three cases sent a reset although a request of the same flow may run: the second copy, due after 600 ms, went to another balancer; a new opening from the same port took over the copies of the earlier one; no target or route was left at the end of a wait during which a copy had gone elsewhere. Such openings are dropped now, as those whose first copy did not come.

--- a/internal/direct/held.go
+++ b/internal/direct/held.go
@@ -11,9 +11,10 @@
 	MaxHeldPackets = 16
 	// callerTimeout is how long after its first opening packet a caller gives up.
 	callerTimeout = 1400 * time.Millisecond
-	// copyTimeout is how long after an opening its first copy arrives at the latest. Callers
-	// send it after 200 ms.
-	copyTimeout = 250 * time.Millisecond
+	// copyTimeout and secondCopyTimeout are how long after an opening its copies arrive at the
+	// latest. Callers send them after 200 and 600 ms.
+	copyTimeout       = 250 * time.Millisecond
+	secondCopyTimeout = 650 * time.Millisecond
 )
 
 // held holds the headers of packets that wait for a place: an opening, or the packets of a
@@ -22,7 +23,8 @@
 	gate    *serviceGate
 	flow    *flow         // of a request; nil for an opening
 	expires time.Duration // when an opening is dropped
-	copied  bool          // a copy of the opening came to this balancer
+	opened  time.Duration // when the opening came
+	copies  uint32        // number of copies of the opening that came here, up to the first that did not
 	packets []Segment     // in order
 }
 
@@ -49,7 +51,7 @@
 	if s.Ack > 0 {
 		hold = min(maxWait, callerTimeout)
 	}
-	f.hold(&held{gate: g, expires: now + hold, packets: []Segment{*s}})
+	f.hold(&held{gate: g, opened: now, expires: now + hold, packets: []Segment{*s}})
 	return Decision{Verb: Hold, Reason: HeldOpening}
 }
 
@@ -93,17 +95,23 @@
 // caller has given up the earlier one; it takes over the wait.
 func (f *Forwarder) handleCopy(now time.Duration, h *held, s *Segment) Decision {
 	if s.Seq == h.packets[0].Seq {
-		h.copied = true
+		if s.Ack == h.copies+1 {
+			h.copies++
+		}
 		return Decision{Verb: Drop, Reason: DroppedWaiting}
 	}
 	h.packets[0] = *s
+	h.opened, h.copies = now, 0
 	h.expires = now + callerTimeout
 	return Decision{Verb: Hold, Reason: HeldOpening}
 }
 
 // copiedElsewhere reports whether a copy of the held opening has probably gone to another
-// balancer, which may have opened the flow. A rejection would then not be truthful.
-func (h *held) copiedElsewhere(waited time.Duration) bool { return waited > copyTimeout && !h.copied }
+// balancer, which may have opened the flow. A reset would then not be truthful.
+func (h *held) copiedElsewhere(now time.Duration) bool {
+	waited := now - h.opened
+	return waited > copyTimeout && h.copies < 1 || waited > secondCopyTimeout && h.copies < 2
+}
 
 // expireHeld drops held openings that are of no use any more.
 func (f *Forwarder) expireHeld(now time.Duration) {
--- a/internal/direct/releases.go
+++ b/internal/direct/releases.go
@@ -63,12 +63,16 @@
 func (f *Forwarder) release(now time.Duration, h *held, r admission.Release[FlowKey]) Decision {
 	s := &h.packets[0]
 	switch {
-	case r.Verdict == admission.Reject && h.copiedElsewhere(r.Waited):
+	case r.Verdict == admission.Reject && h.copiedElsewhere(now):
 		return Decision{Verb: Drop, Reason: DroppedWaiting}
 	case r.Verdict == admission.Reject:
 		return h.gate.rejectionOf(s)
 	case h.flow == nil:
-		return f.releaseOpening(now, h, r)
+		d := f.releaseOpening(now, h, r)
+		if d.Verb == Reset && h.copiedElsewhere(now) {
+			return Decision{Verb: Drop, Reason: DroppedWaiting}
+		}
+		return d
 	case r.Verdict == admission.Forced:
 		return f.releaseRequest(now, h, r.Pool, ForwardedForced)
 	}
