--- a/internal/direct/ends.go
+++ b/internal/direct/ends.go
@@ -48,8 +48,8 @@
 // limits reports whether the gate limits requests.
 func (g *serviceGate) limits() bool { return g.active && !g.ends.unlimited }
 
-// countEnd counts an end of a request that a packet shows. If its place has expired before, it
-// was wrong to count the end as unseen.
+// countEnd counts an end of a request that a packet shows. If its place has expired before, the
+// end was counted as unseen, which is taken back.
 func (fl *flow) countEnd() {
 	switch g := fl.place.gate; {
 	case g != nil:
@@ -143,11 +143,12 @@
 	return max(t.lastAlive, t.answeredAt) > since && !t.dead && t.stalls == 0 && t.failedChecks == 0
 }
 
-// expirePlace gives the place of a flow back of which nothing was seen for long. This counts as
-// an unseen end only if the target has shown life meanwhile and there is no evidence against it:
-// requests at a target that has died or cannot be reached have no end.
+// expirePlace gives back the place of a flow of which nothing has been seen for long. This counts
+// as an unseen end only if the target has shown life meanwhile and there is no evidence against it:
+// requests at a target that has died or cannot be reached have no end. Nor has a flow that was
+// opened ahead of its first request.
 func (f *Forwarder) expirePlace(fl *flow) {
-	if g := fl.place.gate; g != nil && fl.place.target.showsLifeSince(fl.requestedAt) {
+	if g := fl.place.gate; g != nil && (fl.pending || !fl.open) && fl.place.target.showsLifeSince(fl.requestedAt) {
 		g.ends.unseen++
 		g.ends.total++
 		fl.expiredAt = g
--- a/internal/direct/ends_test.go
+++ b/internal/direct/ends_test.go
@@ -191,3 +191,22 @@
 		})
 	}
 }
+
+// Callers open flows ahead of their requests. Their places end without an answer, which must not
+// lift the limit.
+func TestFlowsOpenedAheadAreNoUnseenEnds(t *testing.T) {
+	b := newGated(t, target1(1, "a"))
+	for port := uint16(1); port <= 5; port++ {
+		b.openFlow(port, streams)
+	}
+	for range 30 {
+		b.openFlow(100, streams) // shows that the target lives
+		b.handle(packet(100, streams, RST, 1))
+		b.pass(100 * time.Millisecond)
+	}
+	g := b.f.services["s"].gate
+	if g.ends.unseen > 0 || g.ends.unlimited {
+		t.Errorf("ends %+v", g.ends)
+	}
+	b.wantInFlight(0)
+}
