edge: probes and checks of targets start in one place

The counter, the path and timeout and the goroutine of a health check stood in check and in probe. Both call startCheck now; behaviour is unchanged. The tests of internal/edge and internal/architecture, vet and staticcheck pass.

--- a/internal/edge/checks.go
+++ b/internal/edge/checks.go
@@ -29,11 +29,17 @@
 
 // check starts a health check of a suspected target.
 func (c *control) check(ctx context.Context, t direct.Target) {
+	c.startCheck(ctx, t, func(x direct.Finding, timeout time.Duration, err error) { c.handleCheck(t, x, timeout, err) })
+}
+
+// startCheck starts a health check of a target and passes its result to handle, on the control
+// goroutine.
+func (c *control) startCheck(ctx context.Context, t direct.Target, handle func(direct.Finding, time.Duration, error)) {
 	c.edge.counts.checks.Add(1)
 	path, timeout := c.edge.healthCheck(t.Service)
 	go func() {
 		x, err := c.checker.Check(ctx, t, path, timeout)
-		c.post(func() { c.handleCheck(t, x, timeout, err) })
+		c.post(func() { handle(x, timeout, err) })
 	}()
 }
 
--- a/internal/edge/stepback.go
+++ b/internal/edge/stepback.go
@@ -76,12 +76,7 @@
 		c.stepBack.Checked(x.DataCenter, false)
 		return
 	}
-	c.edge.counts.checks.Add(1)
-	path, timeout := c.edge.healthCheck(t.Service)
-	go func() {
-		finding, err := c.checker.Check(ctx, t, path, timeout)
-		c.post(func() { c.handleProbe(x, t, finding, err) })
-	}()
+	c.startCheck(ctx, t, func(finding direct.Finding, _ time.Duration, err error) { c.handleProbe(x, t, finding, err) })
 }
 
 func (c *control) handleProbe(x stepback.Check, t direct.Target, finding direct.Finding, err error) {
