--- /dev/null
+++ b/review/rig/balancer.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	probeInterval = 500 * time.Millisecond // of the routers' readiness probes
+	maxMissed     = 2                      // after so many misses a balancer is out of rotation
+)
+
+// balancer is a rosedale-edge process with the routers' view of it.
+type balancer struct {
+	name     string
+	zone     string
+	addr     netip.Addr
+	rig      *rig
+	settings string // path
+	output   *os.File
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	ready  atomic.Bool  // in rotation
+	ended  atomic.Int64 // times that it exceeded the memory of its machine
+	peakMB atomic.Int64 // most memory used
+}
+
+// newBalancer writes the settings file of the i-th balancer and starts it.
+func (r *rig) newBalancer(i int, zone string) (*balancer, error) {
+	b := &balancer{name: fmt.Sprintf("front-%s-%d", zone, i%balancersPerZone+1), zone: zone, addr: r.address(balancerNet, i), rig: r}
+	b.settings = filepath.Join(r.dir, b.name+".json")
+	var seeds []string
+	for s := range len(zones) {
+		seeds = append(seeds, netip.AddrPortFrom(r.address(balancerNet, s*balancersPerZone), controlPort).String())
+	}
+	boot, err := json.Marshal(map[string]any{
+		"nodeName": b.name, "role": "balancer", "machineClass": "front", "serves": []string{"front", "control"},
+		"ip": b.addr.String(), "zone": zone, "region": "windhoek", "bootstrap": true,
+		"listen": map[string]string{"datagramAddr": b.data().String(), "readyAddr": b.at(readyPort), "control": b.at(controlPort)},
+		"seeds":  seeds, "heartbeatIntervalMs": targetBeat.Milliseconds(),
+		"limits": map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": r.memoryMB, "maxFds": 4100, "linkMbps": 1000},
+		"bounds": map[string]any{"stabilityWindowMs": 4000, "drainMs": 3000, "graceS": 6, "configApplyMs": 3000, "flowMs": 2000, "flowMaxS": 60},
+		"hash":   "steady", "forwardingMode": "echo",
+		"platform": map[string]any{"address": r.store.Addr.String(), "forwardingMode": "kv", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576, "ttlMinMs": 1000},
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(b.settings, boot, 0o600); err != nil {
+		return nil, err
+	}
+	if b.output, err = os.Create(b.settings + ".log"); err != nil {
+		return nil, err
+	}
+	r.every(probeInterval, b.probe())
+	return b, b.startProcess()
+}
+
+func (b *balancer) data() netip.AddrPort { return netip.AddrPortFrom(b.addr, b.rig.port) }
+
+// at returns an address of the balancer in text.
+func (b *balancer) at(port uint16) string { return netip.AddrPortFrom(b.addr, port).String() }
+
+func (b *balancer) startProcess() error {
+	cmd := exec.Command(b.rig.edge)
+	cmd.Env = append(os.Environ(), "ROSEDALE_BOOT="+b.settings)
+	cmd.Stdout, cmd.Stderr = b.output, b.output
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	go func() {
+		_ = cmd.Wait() // the exit code does not matter
+		close(exited)
+	}()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cmd, b.exited = cmd, exited
+	return nil
+}
+
+// signal sends a signal to the process.
+func (b *balancer) signal(s os.Signal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_ = b.cmd.Process.Signal(s) // it may have exited
+}
+
+// close ends the process.
+func (b *balancer) close() {
+	b.signal(syscall.SIGKILL)
+	b.mu.Lock()
+	exited := b.exited
+	b.mu.Unlock()
+	<-exited
+	_ = b.output.Close()
+}
+
+// probe returns the routers' readiness probe.
+func (b *balancer) probe() func() {
+	client := &http.Client{Timeout: probeInterval, Transport: &http.Transport{DisableKeepAlives: true}}
+	missed := maxMissed
+	return func() {
+		resp, err := client.Get("http://" + b.at(readyPort) + "/readiness")
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		if err == nil && resp.StatusCode == http.StatusOK {
+			missed = 0
+		} else {
+			missed++
+		}
+		b.ready.Store(missed < maxMissed)
+	}
+}
+
+// status is the part of a balancer's status that the cases use.
+type status struct {
+	Version int64 `json:"version"`
+	Reading bool  `json:"reading"`
+}
+
+// status asks the balancer's admin endpoint.
+func (b *balancer) status() (status, error) {
+	var s status
+	client := &http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + b.at(adminPort) + "/status")
+	if err != nil {
+		return s, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+// reader returns the balancer that reads the store for the others.
+func (r *rig) reader() (*balancer, error) {
+	for _, b := range r.balancers {
+		if s, err := b.status(); err == nil && s.Reading {
+			return b, nil
+		}
+	}
+	return nil, fmt.Errorf("no balancer reads the store")
+}
+
+// router returns the balancer to which the routers of a zone send a flow: by a steady hash over
+// the balancers of the zone that are in rotation, or over all if fewer than half are.
+func (r *rig) router(zone int, flow uint64) *balancer {
+	var all, ready []*balancer
+	for _, b := range r.balancers {
+		if b.zone != zones[zone] {
+			continue
+		}
+		all = append(all, b)
+		if b.ready.Load() {
+			ready = append(ready, b)
+		}
+	}
+	if 2*len(ready) < len(all) {
+		ready = all
+	}
+	var best *balancer
+	var most uint64
+	for _, b := range ready {
+		h := fnv.New64a()
+		_, _ = fmt.Fprint(h, b.name, flow) // never fails
+		if x := h.Sum64(); best == nil || x > most {
+			best, most = b, x
+		}
+	}
+	return best
+}
