--- a/review/rig/balancer.go
+++ b/review/rig/balancer.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	_ "embed" // for bootText
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -12,7 +14,10 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"text/template"
 	"time"
+
+	"rosedale.dev/rosedale/platform"
 )
 
 const (
@@ -57,28 +62,37 @@
 	return b.startProcess()
 }
 
-// writeSettings writes the settings file as the platform does. bootstrap is set only while the
-// whole fleet starts for the first time.
+// bootText is the settings file as the platform writes it, with gaps for what differs.
+//
+//go:embed boot.json
+var bootText string
+
+var bootTemplate = template.Must(template.New("boot").Parse(bootText))
+
+// bootFields fill the gaps of bootTemplate.
+type bootFields struct {
+	Name, IP, Zone, Data, Ready, Control, Store string
+	Seeds                                       []string
+	Bootstrap                                   bool
+	MemoryMB                                    int
+}
+
+// writeSettings writes the settings file. bootstrap is set only while the whole fleet starts for
+// the first time.
 func (b *balancer) writeSettings(bootstrap bool) error {
 	r := b.rig
-	var seeds []string
+	f := bootFields{
+		Name: b.name, IP: b.addr.String(), Zone: b.zone, Bootstrap: bootstrap, MemoryMB: r.memoryMB,
+		Data: b.data().String(), Ready: b.at(readyPort), Control: b.at(controlPort), Store: r.front.addr.String(),
+	}
 	for s := range len(zones) {
-		seeds = append(seeds, netip.AddrPortFrom(r.address(balancerNet, s*balancersPerZone), controlPort).String())
+		f.Seeds = append(f.Seeds, netip.AddrPortFrom(r.address(balancerNet, s*balancersPerZone), controlPort).String())
 	}
-	boot, err := json.Marshal(map[string]any{
-		"nodeName": b.name, "role": "balancer", "machineClass": "front", "serves": []string{"front", "control"},
-		"ip": b.addr.String(), "zone": b.zone, "region": "windhoek", "bootstrap": bootstrap,
-		"listen": map[string]string{"datagramAddr": b.data().String(), "readyAddr": b.at(readyPort), "control": b.at(controlPort)},
-		"seeds":  seeds, "heartbeatIntervalMs": targetBeat.Milliseconds(),
-		"limits": map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": r.memoryMB, "maxFds": 4100, "linkMbps": 1000},
-		"bounds": map[string]any{"stabilityWindowMs": 4000, "drainMs": 3000, "graceS": 6, "configApplyMs": 3000, "flowMs": 2000, "flowMaxS": 60},
-		"hash":   "steady", "forwardingMode": "echo",
-		"platform": map[string]any{"address": r.front.addr.String(), "forwardingMode": "kv", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576, "ttlMinMs": 1000},
-	})
-	if err != nil {
+	var text bytes.Buffer
+	if err := bootTemplate.Execute(&text, f); err != nil {
 		return err
 	}
-	return os.WriteFile(b.settings, boot, 0o600)
+	return os.WriteFile(b.settings, text.Bytes(), 0o600)
 }
 
 func (b *balancer) data() netip.AddrPort { return netip.AddrPortFrom(b.addr, b.rig.port) }
@@ -88,7 +102,7 @@
 
 func (b *balancer) startProcess() error {
 	cmd := exec.Command(b.rig.edge)
-	cmd.Env = append(os.Environ(), "ROSEDALE_BOOT="+b.settings)
+	cmd.Env = append(os.Environ(), platform.BootVariable+"="+b.settings)
 	cmd.Stdout, cmd.Stderr = b.output, b.output
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/review/rig/configstorm.go
+++ b/review/rig/configstorm.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rosedale.dev/rosedale/internal/standin/direct"
+	"rosedale.dev/rosedale/platform"
 )
 
 const (
@@ -31,7 +32,7 @@
 
 // configStorm changes the desired state in quick succession. With trouble, the machine that reads
 // the store is removed for good at the beginning. It checks CONFIG: a request sent later than
-// configApplyMs after the ack of the last version must not be handled as only an older one allows.
+// applyBound after the ack of the last version must not be handled as only an older one allows.
 func configStorm(r *rig) (bool, error) {
 	if err := r.addTargets("catalogue", 2); err != nil {
 		return false, err
@@ -66,7 +67,7 @@
 		o.write()
 	}
 	time.Sleep(stabilityWindow)
-	r.note("desired state: %d routes, %d bytes", len(o.routes), len(r.store.Value("op/config")))
+	r.note("desired state: %d routes, %d bytes", len(o.routes), len(r.store.Value(platform.CatalogueKey)))
 	reader, err := r.reader()
 	if err != nil {
 		return false, err
--- a/review/rig/manychanges.go
+++ b/review/rig/manychanges.go
@@ -7,6 +7,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"rosedale.dev/rosedale/platform"
 )
 
 const (
@@ -42,7 +44,7 @@
 	o.addIdle(bigConfig)
 	o.write()
 	time.Sleep(stabilityWindow)
-	r.note("desired state: %d routes, %d bytes", len(o.routes), len(r.store.Value("op/config")))
+	r.note("desired state: %d routes, %d bytes", len(o.routes), len(r.store.Value(platform.CatalogueKey)))
 	for i := range storms {
 		if r.trouble {
 			next := time.Now()
--- a/review/rig/operator.go
+++ b/review/rig/operator.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"time"
+
+	"rosedale.dev/rosedale/platform"
 )
 
 // route is a route of the desired state.
@@ -69,7 +71,7 @@
 	for _, s := range []string{"catalogue", "scan-store"} {
 		services = append(services, map[string]any{"name": s, "healthPath": "/health", "maxConns": 2000})
 	}
-	o.rig.store.Put("op/config", map[string]any{"version": o.version, "routes": o.routes, "services": services,
+	o.rig.store.Put(platform.CatalogueKey, map[string]any{"version": o.version, "routes": o.routes, "services": services,
 		"limits": map[string]any{"idleTimeoutMs": 12000}})
 	return time.Now()
 }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -15,9 +15,8 @@
 // Sizes and intervals of the deployment, as a small site of the platform has them.
 const (
 	balancersPerZone = 2
-	targetBeat       = 1200 * time.Millisecond // heartbeatIntervalMs
-	drainBound       = 3 * time.Second         // drainMs
-	applyBound       = 3 * time.Second         // configApplyMs
+	targetBeat       = 1200 * time.Millisecond // interval of a target's registrations
+	applyBound       = 3 * time.Second         // in which a change has to be in force
 	stabilityWindow  = 4 * time.Second         // stabilityWindowMs
 	historyKept      = 20 * time.Second        // historyS
 	memoryLimitMB    = 284                     // memoryMb
--- a/review/rig/storefront.go
+++ b/review/rig/storefront.go
@@ -1,8 +1,7 @@
 package main
 
 import (
-	"encoding/json"
-	"fmt"
+	"context"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -11,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"rosedale.dev/rosedale/platform"
 )
 
 const (
@@ -21,9 +22,9 @@
 // storeFront stands before the stand-in of the store. It answers after storeLatency and keeps the
 // history for historyKept only: a watch from an earlier revision is answered with 410.
 type storeFront struct {
-	addr  netip.AddrPort
-	inner string // URL of the store
-	srv   *http.Server
+	addr   netip.AddrPort
+	client *platform.Store // of the store behind
+	srv    *http.Server
 
 	mu      sync.Mutex
 	samples []sample
@@ -40,15 +41,15 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &storeFront{addr: ln.Addr().(*net.TCPAddr).AddrPort(), inner: "http://" + inner.String()}
-	target, err := url.Parse(s.inner)
+	s := &storeFront{addr: ln.Addr().(*net.TCPAddr).AddrPort(), client: platform.NewStore(inner)}
+	target, err := url.Parse("http://" + inner.String())
 	if err != nil {
 		return nil, err
 	}
 	proxy := httputil.NewSingleHostReverseProxy(target)
 	s.srv = &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		time.Sleep(storeLatency)
-		if q.URL.Path == "/kv-watch" && s.isDropped(q.URL.Query().Get("after")) {
+		if query := q.URL.Query(); query.Has("waitMs") && s.isDropped(query.Get("after")) { // a watch
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -88,16 +89,6 @@
 }
 
 func (s *storeFront) revision() (int64, error) {
-	resp, err := http.Get(s.inner + "/kv-range?prefix=none")
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var out struct {
-		At int64 `json:"at"`
-	}
-	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
-		return 0, fmt.Errorf("revision: %w", err)
-	}
-	return out.At, nil
+	_, at, err := s.client.List(context.Background(), "none")
+	return at.Number, err
 }
