edge: logs and metrics tell what a balancer that is behind waits for

The record cannot tell the hypotheses apart: it shows failures at balancers that were not late, and none at those that were.

A balancer now logs "replica is behind" once it has lacked, for a second, a change that a heartbeat showed, with its age, what it waits for and for how long (its own read of the store, a request to a peer), and "replica has caught up". Failed requests to the store and to peers say in a field of their own, and first in the error, whether they went over a new connection or a reused one and how long that was idle; the stack trace came before, and records cut it off. Gauge copy_behind_seconds, counter copy_lags, histogram copy_lag_seconds.

Hypothesis 1 predicts reused connections and "fetchFor" at the late balancer, hypothesis 2 "readFor" and no failed request to a peer, hypothesis 3 no line.

--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"rosedale.dev/rosedale/internal/hedge"
 	"rosedale.dev/rosedale/internal/peer"
 	"rosedale.dev/rosedale/internal/revision"
 )
@@ -56,7 +57,7 @@
 	if c.fetchBusy {
 		return
 	}
-	c.fetchBusy = true
+	c.fetchBusy, c.fetchFrom, c.fetchStarted = true, from, c.now()
 	after := c.replica.Position().At(c.replica.After(era, history))
 	requestedAt := c.now()
 	go func() {
@@ -70,18 +71,19 @@
 
 func (c *control) requestChanges(ctx context.Context, from netip.AddrPort, after revision.Revision) (*peer.Changes, error) {
 	url := "http://" + from.String() + changesPath + "?after=" + strconv.FormatInt(after.Number, 10) + "&era=" + strconv.FormatInt(after.Era, 10)
+	ctx, trace := hedge.WithTrace(ctx)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, errors.Wrapf(err, "changes from %s", from)
 	}
 	resp, err := c.fetch.Do(req)
 	if err != nil {
-		return nil, errors.Wrap(err, "changes")
+		return nil, errors.Wrap(trace.Wrap(err), "changes")
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxChanges))
 	if err != nil {
-		return nil, errors.Wrapf(err, "changes from %s", from)
+		return nil, errors.Wrapf(trace.Wrap(err), "changes from %s", from)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("changes from %s: status %d", from, resp.StatusCode)
@@ -93,7 +95,7 @@
 func (c *control) handleFetched(ch *peer.Changes, requestedAt time.Duration, from netip.AddrPort, err error) {
 	if err != nil {
 		c.edge.counts.fetchFailures.Add(1)
-		c.log.Warn("changes not fetched", zap.Stringer("peer", from), zap.Error(err))
+		c.log.Warn("changes not fetched", zap.Stringer("peer", from), zap.Duration("after", c.now()-requestedAt), connectionField(err), zap.Error(err))
 		return
 	}
 	items, err := peer.Unpack(ch.Packed)
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -60,8 +61,13 @@
 	readBusy       bool          // a read of the store is in progress
 	era            atomic.Int64  // of the replica
 	settling       replica.Settling
-	readDone       time.Duration // when the last successful read ended
-	fetchBusy      bool          // a request for changes from a peer is in progress
+	readDone       time.Duration  // when the last successful read ended
+	readStarted    time.Duration  // when the last read of the store began
+	fetchBusy      bool           // a request for changes from a peer is in progress
+	fetchFrom      netip.AddrPort // the peer that was asked last
+	fetchStarted   time.Duration  // when it was asked
+	lag            replica.Lag
+	lagLogged      bool          // the present lag has been logged
 	fetchTurn      int           // selects the balancer to ask next
 	copySlots      chan struct{} // has an element for each requested full copy being sent
 	firstCopy      *replica.FirstCopy
@@ -187,6 +193,7 @@
 	age := c.replica.Age(now)
 	c.edge.proven.Store(int64(now - age))
 	c.era.Store(c.replica.Position().Era)
+	c.reportLag(now)
 	c.edge.times.age.RecordDuration(age)
 	c.applyDeferredIfDue(now)
 	c.lease.renewIfDue(ctx, c, now)
--- a/internal/edge/counts.go
+++ b/internal/edge/counts.go
@@ -12,5 +12,6 @@
 	checks, checksFailed                         atomic.Uint64
 	erasBegun, listingsOutdated, cataloguesOlder atomic.Uint64
 	changes                                      atomic.Uint64
+	lags                                         atomic.Uint64 // times that the replica was behind for lagReported
 	heldLost                                     atomic.Uint64 // packets to be held that did not fit
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,6 +56,7 @@
 	gates    *gateMetrics
 	stopping atomic.Bool  // a planned stop has begun
 	proven   atomic.Int64 // when the replica was last known to be current, as time.Duration since start
+	behind   atomic.Int64 // how long the replica has lacked a change that a peer has, as time.Duration
 	counts   counts
 	failed   chan error // receives the error of a socket that cannot be read any more
 }
--- /dev/null
+++ b/internal/edge/lag.go
@@ -0,0 +1,62 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"rosedale.dev/rosedale/internal/hedge"
+	"rosedale.dev/rosedale/internal/peer"
+)
+
+// lagReported is how long a replica may lack a change before a line reports it. Most
+// changes arrive within a heartbeat and a request.
+const lagReported = time.Second
+
+// noteAnnounced records that a peer has a change which this replica may lack.
+func (c *control) noteAnnounced(now time.Duration, h peer.Heartbeat) {
+	if c.replica.Loaded() && h.Position != 0 {
+		c.lag.Announced(now, h.Revision().At(h.LastChange), c.replica.Position())
+	}
+}
+
+// reportLag logs a replica that has lacked a change for lagReported, once, and when it
+// has caught up. The line says what this balancer waits for.
+func (c *control) reportLag(now time.Duration) {
+	behind := c.lag.For(now)
+	if d, ended := c.lag.Reached(now, c.replica.Position()); ended {
+		c.edge.times.lag.RecordDuration(d)
+		if c.lagLogged {
+			c.log.Info("replica has caught up", zap.Duration("after", d), zap.Stringer("position", c.replica.Position()))
+		}
+		c.lagLogged = false
+		behind = 0
+	}
+	c.edge.behind.Store(int64(behind))
+	if behind < lagReported || c.lagLogged {
+		return
+	}
+	c.lagLogged = true
+	c.edge.counts.lags.Add(1)
+	c.log.Warn("replica is behind", zap.Duration("for", behind), zap.Duration("age", c.replica.Age(now)), zap.Stringer("position", c.replica.Position()),
+		zap.Bool("reading", c.reader.Reading()), zap.Duration("readFor", c.busyFor(now, c.readBusy, c.readStarted)),
+		zap.Stringer("asked", c.fetchFrom), zap.Duration("fetchFor", c.busyFor(now, c.fetchBusy, c.fetchStarted)))
+}
+
+// busyFor returns for how long a request has been under way, or 0 if none is.
+func (c *control) busyFor(now time.Duration, busy bool, started time.Duration) time.Duration {
+	if !busy {
+		return 0
+	}
+	return now - started
+}
+
+// connectionField returns the log field for the connection of a failed request.
+func connectionField(err error) zap.Field {
+	var failed *hedge.Error
+	if !errors.As(err, &failed) {
+		return zap.Skip()
+	}
+	return zap.Stringer("connection", failed.Connection)
+}
--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -88,7 +88,7 @@
 	l.due = c.now() + leaseRenewal
 	if err != nil {
 		c.edge.counts.leaseFailures.Add(1)
-		c.log.Warn("registration failed", zap.Error(err))
+		c.log.Warn("registration failed", connectionField(err), zap.Error(err))
 		l.due = c.now() + leaseRetry
 	}
 	if l.lost {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -16,6 +16,8 @@
 	}
 	m.Gauge("flows", func() float64 { return float64(e.flows()) })
 	m.Gauge("copy_age_seconds", func() float64 { return (e.now() - time.Duration(e.proven.Load())).Seconds() })
+	m.Gauge("copy_behind_seconds", func() float64 { return time.Duration(e.behind.Load()).Seconds() })
+	m.Counter("copy_lags", e.counts.lags.Load)
 	m.Gauge("store_era", func() float64 { return float64(e.control.era.Load()) })
 	m.Counter("early_openings_dropped", e.packets.early.dropped.Load)
 	m.Gauge("stepped_back", func() float64 { return float64(e.ready.stepBackReason()) })
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -81,6 +81,7 @@
 		c.stepBack.Heard(now)
 	}
 	c.settleFromPeer(now, h)
+	c.noteAnnounced(now, h)
 	if c.isBehind(now, h, arrived) && !c.reader.Succeeding() {
 		c.fetchChanges(ctx, h.Control, h.Era, h.History)
 	}
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -28,7 +28,7 @@
 		return
 	}
 	full := !c.replica.Loaded()
-	c.readBusy = true
+	c.readBusy, c.readStarted = true, now
 	position := c.replica.Position()
 	if full {
 		ctx = c.firstCopyCtx
@@ -131,7 +131,7 @@
 	if lost := res.err != nil; lost != c.storeLost {
 		c.storeLost = lost
 		if lost {
-			c.log.Warn("store lost", zap.Duration("age", c.replica.Age(c.now())), zap.Error(res.err))
+			c.log.Warn("store lost", zap.Duration("age", c.replica.Age(c.now())), zap.Duration("after", c.now()-res.startedAt), connectionField(res.err), zap.Error(res.err))
 		} else {
 			c.log.Info("store regained", zap.Duration("age", c.replica.Age(c.now())), zap.Stringer("position", res.position),
 				zap.Stringer("copy", c.replica.Position()), zap.Bool("listed", res.full))
--- a/internal/edge/times.go
+++ b/internal/edge/times.go
@@ -24,6 +24,7 @@
 	detected tally.Histogram // see direct.Times.Detected
 	change   tally.Histogram // from the request for a change until it is in force
 	age      tally.Histogram // of the replica, at each tick
+	lag      tally.Histogram // from a heartbeat that shows a missing change until the replica has it
 }
 
 func newTimes(m *metrics.Collector) *times {
@@ -34,6 +35,7 @@
 		detected: m.Histogram("detection_seconds", timeBuckets),
 		change:   m.Histogram("change_seconds", timeBuckets),
 		age:      m.Histogram("copy_age_hist_seconds", timeBuckets),
+		lag:      m.Histogram("copy_lag_seconds", timeBuckets),
 	}
 }
 
