tests: changes are late behind silent connections, deaf readers and stalled responses

The stand-ins learn to silence accepted connections (Listener) and to stop responses (Relay.Stall); edge.WithListen lets tests put the former in place.

--- a/internal/edge/arrival_test.go
+++ b/internal/edge/arrival_test.go
@@ -17,7 +17,7 @@
 func TestWaitingHeartbeatProvesOnlyItsOwnTime(t *testing.T) {
 	const pause = 500 * time.Millisecond
 	addr := netip.AddrPortFrom(address(0, balancerNet, 1), 17002)
-	e := &Edge{boot: platform.Boot{VM: "a1", DataCenter: "a", Control: addr}, start: time.Now(), ready: &ready{}}
+	e := &Edge{boot: platform.Boot{VM: "a1", DataCenter: "a", Control: addr}, start: time.Now(), ready: &ready{}, listen: net.Listen}
 	log, err := logging.New(&output{}, "info", e.boot.VM, e.boot.DataCenter)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,12 +60,25 @@
 	behind   atomic.Int64 // how long the replica has lacked a change that a peer has, as time.Duration
 	counts   counts
 	failed   chan error // receives the error of a socket that cannot be read any more
+	listen   ListenFunc // for connections of other balancers
 }
 
+// ListenFunc opens a listening socket, as net.Listen does.
+type ListenFunc func(network, address string) (net.Listener, error)
+
+// Option changes how a balancer runs.
+type Option func(*Edge)
+
+// WithListen sets how the socket for connections of other balancers is opened.
+func WithListen(listen ListenFunc) Option { return func(e *Edge) { e.listen = listen } }
+
 // Run runs a balancer until ctx ends, and then stops it gracefully. It returns early if a
 // socket cannot be read for readfail.Limit. without are the feature switches that are off.
-func Run(ctx context.Context, boot platform.Boot, without direct.MechanismSet, log *logging.Logger) error {
-	e := &Edge{boot: boot, without: without, log: log, start: time.Now(), failed: make(chan error, 1)}
+func Run(ctx context.Context, boot platform.Boot, without direct.MechanismSet, log *logging.Logger, options ...Option) error {
+	e := &Edge{boot: boot, without: without, log: log, start: time.Now(), failed: make(chan error, 1), listen: net.Listen}
+	for _, o := range options {
+		o(e)
+	}
 	m := metrics.New()
 	e.times = newTimes(m)
 	e.gates = newGateMetrics(e, m)
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -38,6 +38,9 @@
 	boot platform.Boot
 	// link relays the balancer's connections to the store.
 	link *direct.Relay
+	// control accepts the connections of the other balancers, once the balancer runs.
+	control chan *direct.Listener
+	edge    *Edge // set when it starts
 	stop context.CancelFunc
 	done chan error
 	out  *output
@@ -163,7 +166,7 @@
 		d.t.Fatal(err)
 	}
 	d.t.Cleanup(link.Close)
-	b := &balancer{link: link, out: &output{}, done: make(chan error, 1)}
+	b := &balancer{link: link, out: &output{}, done: make(chan error, 1), control: make(chan *direct.Listener, 1)}
 	b.boot = platform.Boot{
 		VM: ip.String(), DataCenter: dataCenter,
 		Data: netip.AddrPortFrom(ip, d.dataPort), Ready: netip.AddrPortFrom(ip, 17001), Control: netip.AddrPortFrom(ip, 17002),
@@ -180,7 +183,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	b.stop = stop
 	go func() {
-		b.done <- Run(ctx, b.boot, 0, log)
+		b.done <- Run(ctx, b.boot, 0, log, WithListen(b.listen), func(e *Edge) { b.edge = e })
 		log.Close()
 	}()
 	d.t.Cleanup(func() { b.shutdown(d.t) })
@@ -188,6 +191,32 @@
 	return b
 }
 
+// listen opens the socket for the connections of other balancers.
+func (b *balancer) listen(network, address string) (net.Listener, error) {
+	ln, err := direct.Listen(network, address)
+	if err != nil {
+		return nil, err
+	}
+	b.control <- ln
+	return ln, nil
+}
+
+// silence silences the open connections of a balancer, to the store and of its peers, and
+// returns the number of the latter.
+func (b *balancer) silence() int {
+	b.link.Silence()
+	ln := <-b.control
+	defer func() { b.control <- ln }()
+	return ln.Silence()
+}
+
+// deafen sets whether a balancer answers none of its peers on any connection.
+func (b *balancer) deafen(on bool) {
+	ln := <-b.control
+	defer func() { b.control <- ln }()
+	ln.Deafen(on)
+}
+
 // shutdown stops a balancer as SIGTERM does, and waits for it.
 func (b *balancer) shutdown(t *testing.T) {
 	b.stop()
--- a/internal/edge/servechanges.go
+++ b/internal/edge/servechanges.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -31,7 +30,7 @@
 // would hand out no other copies. The client's timeout is fetchTimeout, so a longer write
 // is of no use.
 func (c *control) serve() error {
-	ln, err := net.Listen("tcp4", c.edge.boot.Control.String())
+	ln, err := c.edge.listen("tcp4", c.edge.boot.Control.String())
 	if err != nil {
 		return errors.Wrapf(err, "control: listen on %s", c.edge.boot.Control)
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -267,6 +267,18 @@
 	}
 }
 
+// A balancer hears a reader that it gets no changes from. Its replica must not get older than
+// it would without the reader.
+func TestOldReplicaIsReadAlthoughAReaderIsHeard(t *testing.T) {
+	var r Reader
+	if r.Decide(Place{Rank: 2}, time.Second, true) {
+		t.Error("reads although the reader keeps the replica fresh")
+	}
+	if !r.Decide(Place{Rank: 2}, 2500*time.Millisecond, true) {
+		t.Error("does not read although the replica is old")
+	}
+}
+
 // A balancer's own reads fail while others keep its replica fresh. It stops reading and
 // starts again when the replica gets old.
 func TestFailingReaderStops(t *testing.T) {
--- a/internal/standin/direct/relay.go
+++ b/internal/standin/direct/relay.go
@@ -16,6 +16,7 @@
 
 	mu     sync.Mutex
 	refuse bool
+	stall  bool
 	delay  time.Duration
 	open   map[net.Conn]*relayedConn // by the balancer's connection
 }
@@ -25,6 +26,7 @@
 type relayedConn struct {
 	peer     net.Conn // connection to the store
 	silenced bool
+	stalled  bool // is silenced after the present chunk
 }
 
 // NewRelay returns a relay from a free port of loopback to the given address.
@@ -55,6 +57,17 @@
 	}
 }
 
+// stalledTail is how many bytes at the end of a response Stall withholds.
+const stalledTail = 2
+
+// Stall sets whether the next response on each connection stops shortly before its end, and
+// the connection is silent from then on.
+func (r *Relay) Stall(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stall = on
+}
+
 // Delay sets how long each chunk of data is delayed before it is forwarded.
 func (r *Relay) Delay(d time.Duration) {
 	r.mu.Lock()
@@ -124,7 +137,12 @@
 			return
 		}
 		r.mu.Lock()
+		if r.stall && !rc.silenced && from == rc.peer && n > stalledTail {
+			n -= stalledTail
+			rc.stalled = true
+		}
 		delay, silenced := r.delay, rc.silenced
+		rc.silenced = rc.silenced || rc.stalled
 		r.mu.Unlock()
 		time.Sleep(delay)
 		if silenced {
