--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -41,9 +41,9 @@
 	// control accepts the connections of the other balancers, once the balancer runs.
 	control chan *direct.Listener
 	edge    *Edge // set when it starts
-	stop context.CancelFunc
-	done chan error
-	out  *output
+	stop    context.CancelFunc
+	done    chan error
+	out     *output
 }
 
 // output collects the log of a balancer.
