edge: no answer that is waited for alone delays a change

What callers saw: openings went to the service that a route had before its last change, 3 s after it and later; with six balancers whose open connections had gone silent, a change was in force everywhere after 3.1 to 6.1 s.

Cause, in three places where a balancer waits for one answer and what it could have tried instead is not tried: - one peer was asked at a time, for a second each, over pooled connections that were trusted however many of them had not answered; - a balancer that reads the store asked no peer while its read hung; - a listing that failed after a compaction was neither counted nor logged, and the balancer counted as reading, so that it asked no peer, and said nothing.

replica.Fetches (pure) decides whom to ask: a peer that has not answered after 0.3 s is not waited for alone, the next one with the change is asked beside it, up to three, those that failed last. Then, and after each failure, the idle connections are closed; a failure leads to the next request at once rather than at the next heartbeat, and the first answer cancels the others. Connections that were idle for a second are not reused. A read counts as one for 0.6 s; from then on, and when a listing fails, peers are asked.

TestFailedListingIsAFailedRead.

--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"time"
 
@@ -27,46 +25,13 @@
 	dialTimeout = 250 * time.Millisecond
 	// maxChanges bounds the size of an answer, in bytes.
 	maxChanges = 16 << 20
-	// fetchTicks is the interval between requests to other balancers while there is no
-	// replica yet, in ticks.
-	fetchTicks = 2
-	// fetchOldTicks is that interval while the replica is old. It is longer because all
-	// balancers send requests during an outage of the store.
-	fetchOldTicks = 6
-	// fetchAge is the age of the replica from which on changes are requested from other
-	// balancers. By then the first balancer in rank has taken over reading.
-	fetchAge = 1800 * time.Millisecond
-	// seedTick is the tick from which on a starting balancer asks its seeds. By then the
-	// store has answered if it can. Asking both costs 2 ms of CPU time.
-	seedTick = 2
-	// unknownHistory stands for the history of a balancer that has not reported it.
-	unknownHistory = math.MaxInt64
 )
 
 func newFetchClient() *http.Client {
 	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{
-		Timeout:   fetchTimeout,
-		Transport: &http.Transport{DialContext: d.DialContext, DisableCompression: true, IdleConnTimeout: time.Minute},
-	}
-}
-
-// fetchChanges fetches the changes that this balancer lacks from another one. The other's
-// replica is of the given era and knows all changes after the revision history.
-func (c *control) fetchChanges(ctx context.Context, from netip.AddrPort, era, history int64) {
-	if c.fetchBusy {
-		return
-	}
-	c.fetchBusy, c.fetchFrom, c.fetchStarted = true, from, c.now()
-	after := c.replica.Position().At(c.replica.After(era, history))
-	requestedAt := c.now()
-	go func() {
-		ch, err := c.requestChanges(ctx, from, after)
-		c.post(func() {
-			c.fetchBusy = false
-			c.handleFetched(ch, requestedAt, from, err)
-		})
-	}()
+	t := &http.Transport{DialContext: d.DialContext, DisableCompression: true}
+	hedge.LimitIdle(t)
+	return &http.Client{Timeout: fetchTimeout, Transport: t}
 }
 
 func (c *control) requestChanges(ctx context.Context, from netip.AddrPort, after revision.Revision) (*peer.Changes, error) {
@@ -92,51 +57,24 @@
 	return ch, peer.Decode(b, ch)
 }
 
-func (c *control) handleFetched(ch *peer.Changes, requestedAt time.Duration, from netip.AddrPort, err error) {
+// handleFetched applies an answer to a request for changes. It reports whether it was one.
+func (c *control) handleFetched(ch *peer.Changes, requestedAt time.Duration, from netip.AddrPort, err error) bool {
 	if err != nil {
 		c.edge.counts.fetchFailures.Add(1)
 		c.log.Warn("changes not fetched", zap.Stringer("peer", from), zap.Duration("after", c.now()-requestedAt), connectionField(err), zap.Error(err))
-		return
+		return false
 	}
 	items, err := peer.Unpack(ch.Packed)
 	if err != nil {
 		c.edge.counts.fetchFailures.Add(1)
 		c.log.Error("changes could not be unpacked", zap.Stringer("peer", from), zap.Error(err))
-		return
+		return false
 	}
 	proven := requestedAt - ch.Age
 	if ch.Full {
 		c.applyCopy(items, ch.Revision(), proven, from.String())
-		return
+		return true
 	}
 	c.applyChanges(c.replica.Merge(items, ch.Revision(), proven), from.String(), requestedAt)
-}
-
-// fetchIfOld requests changes from other balancers in turn while there is no replica, or
-// while the replica is old and this balancer does not itself read the store successfully.
-//
-// Guards against a store that rejects a balancer before it has registered. As its peers
-// do not know it, it gets no heartbeats and would keep its first catalogue forever. Its
-// seeds and the balancers known from an old listing can still provide updates.
-func (c *control) fetchIfOld(ctx context.Context, now time.Duration) {
-	pause := fetchTicks
-	if c.replica.Loaded() {
-		pause = fetchOldTicks
-	}
-	if c.ticks < seedTick || c.ticks%pause != 0 {
-		return
-	}
-	if c.replica.Loaded() && (c.replica.Age(now) < fetchAge || c.reader.Succeeding()) {
-		return
-	}
-	if !c.replica.Loaded() && c.firstCopy.HasSources() && !c.firstCopy.MayList(now) {
-		return // sources are preferred, as the seeds may be starting too
-	}
-	others := slices.Concat(c.edge.boot.Seeds, c.fleet.Near(), c.fleet.Far())
-	others = slices.DeleteFunc(others, func(a netip.AddrPort) bool { return a == c.edge.boot.Control })
-	if len(others) == 0 {
-		return
-	}
-	c.fetchTurn++
-	c.fetchChanges(ctx, others[c.fetchTurn%len(others)], c.replica.Position().Era, unknownHistory)
+	return true
 }
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -58,17 +57,14 @@
 	// registration is gone.
 	unregistered   map[string]bool
 	readAt         time.Duration // when the next read of the store is due
-	readBusy       bool          // a read of the store is in progress
 	era            atomic.Int64  // of the replica
 	settling       replica.Settling
-	readDone       time.Duration  // when the last successful read ended
-	readStarted    time.Duration  // when the last read of the store began
-	fetchBusy      bool           // a request for changes from a peer is in progress
-	fetchFrom      netip.AddrPort // the peer that was asked last
-	fetchStarted   time.Duration  // when it was asked
+	readDone       time.Duration // when the last successful read ended
+	fetches        replica.Fetches
+	cancelFetch    map[int]context.CancelFunc // of the requests under way, by replica.Fetch.ID
 	lag            replica.Lag
 	lagLogged      bool          // the present lag has been logged
-	fetchTurn      int           // selects the balancer to ask next
+	oldTurn        int           // selects the balancer to ask next while the replica is old
 	copySlots      chan struct{} // has an element for each requested full copy being sent
 	firstCopy      *replica.FirstCopy
 	sourcesWritten time.Duration // when this balancer last wrote the sources; see writeSourcesIfDue
@@ -113,6 +109,7 @@
 		firstCopy: replica.NewFirstCopy(e.boot.Control, rand.Float64()),
 
 		unregistered: map[string]bool{},
+		cancelFetch:  map[int]context.CancelFunc{},
 	}
 	c.stepBack.Start(c.now())
 	return c, c.serve()
@@ -190,6 +187,7 @@
 	c.ticks++
 	c.readIfDue(ctx, now)
 	c.fetchIfOld(ctx, now)
+	c.catchUp(ctx, now)
 	age := c.replica.Age(now)
 	c.edge.proven.Store(int64(now - age))
 	c.era.Store(c.replica.Position().Era)
--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -130,7 +130,7 @@
 		h.LastChange = c.replica.LastChange()
 		h.History = c.replica.History()
 		h.Age = c.replica.Age(now)
-		h.Reading = c.reader.Succeeding() && now-c.readDone < peerSilent
+		h.Reading = c.reader.Succeeding(now) && now-c.readDone < peerSilent
 	}
 	e := c.edge
 	e.mu.Lock()
--- a/internal/edge/lag.go
+++ b/internal/edge/lag.go
@@ -27,6 +27,7 @@
 	behind := c.lag.For(now)
 	if d, ended := c.lag.Reached(now, c.replica.Position()); ended {
 		c.edge.times.lag.RecordDuration(d)
+		c.fetches.CaughtUp()
 		if c.lagLogged {
 			c.log.Info("replica has caught up", zap.Duration("after", d), zap.Stringer("position", c.replica.Position()))
 		}
@@ -39,17 +40,12 @@
 	}
 	c.lagLogged = true
 	c.edge.counts.lags.Add(1)
-	c.log.Warn("replica is behind", zap.Duration("for", behind), zap.Duration("age", c.replica.Age(now)), zap.Stringer("position", c.replica.Position()),
-		zap.Bool("reading", c.reader.Reading()), zap.Duration("readFor", c.busyFor(now, c.readBusy, c.readStarted)),
-		zap.Stringer("asked", c.fetchFrom), zap.Duration("fetchFor", c.busyFor(now, c.fetchBusy, c.fetchStarted)))
-}
-
-// busyFor returns for how long a request has been under way, or 0 if none is.
-func (c *control) busyFor(now time.Duration, busy bool, started time.Duration) time.Duration {
-	if !busy {
-		return 0
+	fields := []zap.Field{zap.Duration("for", behind), zap.Duration("age", c.replica.Age(now)), zap.Stringer("position", c.replica.Position()),
+		zap.Bool("reading", c.reader.Reading()), zap.Duration("readFor", c.reader.BusyFor(now))}
+	if oldest, ok := c.fetches.Oldest(); ok {
+		fields = append(fields, zap.Stringer("asked", oldest.From), zap.Duration("fetchFor", now-oldest.Started))
 	}
-	return now - started
+	c.log.Warn("replica is behind", fields...)
 }
 
 // connectionField returns the log field for the connection of a failed request.
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -37,6 +37,7 @@
 	m.Counter("listings_outdated", n.listingsOutdated.Load)
 	m.Counter("catalogues_older", n.cataloguesOlder.Load)
 	m.Counter("peer_fetch_failures", n.fetchFailures.Load)
+	m.Counter("peer_fetch_hedges", n.fetchHedges.Load)
 	m.Counter("copies_sent", n.copiesSent.Load)
 	m.Counter("copies_refused", n.copiesRefused.Load)
 	m.Counter("lease_failures", n.leaseFailures.Load)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -82,8 +82,8 @@
 	}
 	c.settleFromPeer(now, h)
 	c.noteAnnounced(now, h)
-	if c.isBehind(now, h, arrived) && !c.reader.Succeeding() {
-		c.fetchChanges(ctx, h.Control, h.Era, h.History)
+	if c.isBehind(now, h, arrived) && !c.reader.Succeeding(now) {
+		c.fetchFromAny(ctx, now, append([]source{sourceOf(h)}, c.sourcesAhead(now)...))
 	}
 	c.applyFindings(now, h)
 }
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -15,6 +15,7 @@
 // readResult is the outcome of a read of the store.
 type readResult struct {
 	full      bool // a listing instead of changes
+	first     bool // there was no replica when it began
 	items     []replica.Item
 	position  revision.Revision
 	startedAt time.Duration // the result is at least as recent as this
@@ -24,17 +25,17 @@
 // readIfDue reads the store if this balancer is a reader, or lists it if it needs its first
 // copy and may do so.
 func (c *control) readIfDue(ctx context.Context, now time.Duration) {
-	if c.readBusy || now < c.readAt || c.leaving || !c.mayRead(now) {
+	if c.reader.Busy() || now < c.readAt || c.leaving || !c.mayRead(now) {
 		return
 	}
-	full := !c.replica.Loaded()
-	c.readBusy, c.readStarted = true, now
+	first := !c.replica.Loaded()
+	c.reader.Started(now)
 	position := c.replica.Position()
-	if full {
+	if first {
 		ctx = c.firstCopyCtx
 	}
 	go func() {
-		res := c.read(ctx, now, position, full)
+		res := c.read(ctx, now, position, first)
 		c.post(func() { c.handleRead(res) })
 	}()
 }
@@ -70,10 +71,11 @@
 	c.log.Info("first copy", zap.String("source", source), zap.Duration("after", now), zap.Stringer("position", c.replica.Position()), zap.Duration("age", c.replica.Age(now)))
 }
 
-// read requests changes from the store, or lists it. It runs on its own goroutine.
-func (c *control) read(ctx context.Context, now time.Duration, position revision.Revision, full bool) readResult {
-	res := readResult{startedAt: now, full: full}
-	if !full {
+// read requests changes from the store, or lists it for the first copy. It runs on its own
+// goroutine.
+func (c *control) read(ctx context.Context, now time.Duration, position revision.Revision, first bool) readResult {
+	res := readResult{startedAt: now, first: first}
+	if !first {
 		res.items, res.position, res.err = c.store.Watch(ctx, position, 0)
 		if !errors.Is(res.err, platform.ErrCompacted) && !errors.Is(res.err, platform.ErrNewEra) {
 			return res
@@ -86,9 +88,9 @@
 
 func (c *control) handleRead(res readResult) {
 	now := c.now()
-	c.readBusy = false
-	if res.full && res.err != nil && c.replica.Loaded() {
-		return // a peer has provided a copy in the meantime
+	if res.first && res.err != nil && c.replica.Loaded() {
+		c.reader.Abandoned() // a peer has provided a copy in the meantime
+		return
 	}
 	if res.err == nil && res.position.Era < c.replica.Position().Era {
 		res.err = errors.Errorf("store: answer is of era %d, but the replica is of era %d", res.position.Era, c.replica.Position().Era)
--- /dev/null
+++ b/internal/replica/fetches.go
@@ -0,0 +1,123 @@
+package replica
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// fetchPatience is how long a peer that was asked for changes is waited for before
+	// another one is asked beside it. Peers answer within milliseconds; the time also
+	// admits an answer that waits for others on a small VM or for a slot.
+	fetchPatience = 300 * time.Millisecond
+	// maxFetches bounds the requests that are under way at once.
+	maxFetches = 3
+	// failureRetention is how long a peer that did not answer is asked after the others.
+	failureRetention = 5 * time.Second
+)
+
+// Fetches decides which peers are asked for changes, and when: one at a time as long as each
+// answers in time, so that no peer and no connection that went silent delays a change for
+// longer than fetchPatience.
+type Fetches struct {
+	begun   int                              // requests so far
+	pending []Fetch                          // in the order in which they began
+	failed  map[netip.AddrPort]time.Duration // when a request to the peer failed last
+	// unanswered is set while the requests since asking have all failed or are under way.
+	unanswered bool
+	asking     time.Duration
+}
+
+// Fetch is a request for changes.
+type Fetch struct {
+	ID      int // unique in a Fetches
+	From    netip.AddrPort
+	Started time.Duration
+}
+
+// Begin returns the request to make now, given the peers that have changes in order of
+// preference. It returns false if none is to be made yet. It is under way until Ended.
+func (f *Fetches) Begin(now time.Duration, peers []netip.AddrPort) (Fetch, bool) {
+	if len(peers) == 0 || !f.MayBegin(now) {
+		return Fetch{}, false
+	}
+	best := peers[0]
+	for _, p := range peers[1:] {
+		if f.cost(now, p) < f.cost(now, best) {
+			best = p
+		}
+	}
+	if !f.unanswered {
+		f.unanswered, f.asking = true, now
+	}
+	f.begun++
+	next := Fetch{ID: f.begun, From: best, Started: now}
+	f.pending = append(f.pending, next)
+	return next, true
+}
+
+// MayBegin reports whether a request may begin now.
+func (f *Fetches) MayBegin(now time.Duration) bool {
+	return len(f.pending) == 0 || len(f.pending) < maxFetches && f.OutOfPatience(now)
+}
+
+// Awaits reports whether a request is under way that may still be answered in time, and no
+// earlier one was in vain.
+func (f *Fetches) Awaits(now time.Duration) bool {
+	return len(f.pending) > 0 && now-f.asking < fetchPatience
+}
+
+// OutOfPatience reports whether requests are under way and the newest has not been answered
+// in time. The connections that were open when it began are not to be trusted then.
+func (f *Fetches) OutOfPatience(now time.Duration) bool {
+	n := len(f.pending)
+	return n > 0 && now-f.pending[n-1].Started >= fetchPatience
+}
+
+// CaughtUp records that the replica lacks no known change any more, by whatever way.
+func (f *Fetches) CaughtUp() { f.unanswered = false }
+
+// Ended records the end of a request.
+func (f *Fetches) Ended(now time.Duration, ended Fetch, ok bool) {
+	f.pending = slices.DeleteFunc(f.pending, func(p Fetch) bool { return p.ID == ended.ID })
+	f.forgetFailures(now)
+	if ok {
+		f.unanswered = false
+		delete(f.failed, ended.From)
+		return
+	}
+	if f.failed == nil {
+		f.failed = map[netip.AddrPort]time.Duration{}
+	}
+	f.failed[ended.From] = now
+}
+
+// Oldest returns the first request that is under way. It returns false if there is none.
+func (f *Fetches) Oldest() (Fetch, bool) {
+	if len(f.pending) == 0 {
+		return Fetch{}, false
+	}
+	return f.pending[0], true
+}
+
+// cost orders peers: those that are not being asked and did not fail recently first.
+func (f *Fetches) cost(now time.Duration, peer netip.AddrPort) int {
+	asked := slices.ContainsFunc(f.pending, func(p Fetch) bool { return p.From == peer })
+	at, failed := f.failed[peer]
+	switch {
+	case asked:
+		return 2
+	case failed && now-at < failureRetention:
+		return 1
+	}
+	return 0
+}
+
+func (f *Fetches) forgetFailures(now time.Duration) {
+	for p, at := range f.failed {
+		if now-at >= failureRetention {
+			delete(f.failed, p)
+		}
+	}
+}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -18,10 +18,13 @@
 	lastDataCenterRank = 4
 	// rankStep is added for each rank in the data centre.
 	rankStep = 250 * time.Millisecond
-	// lastRank is the highest rank that is distinguished. It bounds the age of the
-	// replica of a balancer that gets no heartbeats to 2.45 s, below the 3 s in which
-	// changes have to be in force.
+	// lastRank is the highest rank that is distinguished. It bounds the age at which every
+	// balancer that awaits nothing from a peer reads the store itself to 2.45 s, below the
+	// 3 s in which changes have to be in force.
 	lastRank = 3
+	// readPatience is how long a read may take until the balancer counts as one that does
+	// not read, and asks its peers as well.
+	readPatience = 600 * time.Millisecond
 	// MaxReadInterval bounds the interval after failed reads.
 	MaxReadInterval = 1600 * time.Millisecond
 )
@@ -33,7 +36,9 @@
 // With a reader in each of 3 data centres, reads made up 330 of 414 store calls in 44 s.
 type Reader struct {
 	reading bool
-	failed  int // consecutive failed reads
+	failed  int           // consecutive failed reads
+	busy    bool          // a read is under way
+	started time.Duration // when the last read began
 }
 
 // Reading reports whether the last decision was to read the store.
@@ -66,9 +71,30 @@
 	return r.reading
 }
 
-// Succeeding reports whether this balancer reads the store and its last read succeeded.
-// Such a balancer needs no updates from others.
-func (r *Reader) Succeeding() bool { return r.reading && r.failed == 0 }
+// Started records that a read begins.
+func (r *Reader) Started(now time.Duration) { r.busy, r.started = true, now }
+
+// Busy reports whether a read is under way.
+func (r *Reader) Busy() bool { return r.busy }
+
+// Abandoned records that the read under way ended without an outcome.
+func (r *Reader) Abandoned() { r.busy = false }
+
+// BusyFor returns for how long a read has been under way, or 0 if none is.
+func (r *Reader) BusyFor(now time.Duration) time.Duration {
+	if !r.busy {
+		return 0
+	}
+	return now - r.started
+}
+
+// Succeeding reports whether this balancer reads the store, its last read succeeded and no
+// read takes longer than readPatience. Such a balancer needs no updates from others.
+//
+// Guards against a read that hangs: the balancer would not ask its peers meanwhile.
+func (r *Reader) Succeeding(now time.Duration) bool {
+	return r.reading && r.failed == 0 && r.BusyFor(now) <= readPatience
+}
 
 // maxAge returns the age of the replica above which a balancer at this place reads the
 // store.
@@ -79,6 +105,7 @@
 // Done records the outcome of a read and returns the pause before the next one. The pause
 // grows with each failed read, because calls that the store refuses are billed too.
 func (r *Reader) Done(ok bool) time.Duration {
+	r.busy = false
 	if ok {
 		r.failed = 0
 		return ReadInterval
