--- a/internal/replica/fetches.go
+++ b/internal/replica/fetches.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// fetchPatience is how long a peer that was asked for changes is waited for before
+	// FetchPatience is how long a peer that was asked for changes is waited for before
 	// another one is asked beside it. Peers answer within milliseconds; the time also
 	// admits an answer that waits for others on a small VM or for a slot.
-	fetchPatience = 300 * time.Millisecond
+	FetchPatience = 300 * time.Millisecond
 	// maxFetches bounds the requests that are under way at once.
 	maxFetches = 3
 	// failureRetention is how long a peer that did not answer is asked after the others.
@@ -19,7 +19,7 @@
 
 // Fetches decides which peers are asked for changes, and when: one at a time as long as each
 // answers in time, so that no peer and no connection that went silent delays a change for
-// longer than fetchPatience.
+// longer than FetchPatience.
 type Fetches struct {
 	begun   int                              // requests so far
 	pending []Fetch                          // in the order in which they began
@@ -65,14 +65,14 @@
 // Awaits reports whether a request is under way that may still be answered in time, and no
 // earlier one was in vain.
 func (f *Fetches) Awaits(now time.Duration) bool {
-	return len(f.pending) > 0 && now-f.asking < fetchPatience
+	return len(f.pending) > 0 && now-f.asking < FetchPatience
 }
 
 // OutOfPatience reports whether requests are under way and the newest has not been answered
 // in time. The connections that were open when it began are not to be trusted then.
 func (f *Fetches) OutOfPatience(now time.Duration) bool {
 	n := len(f.pending)
-	return n > 0 && now-f.pending[n-1].Started >= fetchPatience
+	return n > 0 && now-f.pending[n-1].Started >= FetchPatience
 }
 
 // CaughtUp records that the replica lacks no known change any more, by whatever way.
--- a/internal/replica/fetches_test.go
+++ b/internal/replica/fetches_test.go
@@ -13,12 +13,12 @@
 )
 
 // Peers that accept requests and answer none of them must not delay a change one after
-// another: each further one is asked after fetchPatience.
+// another: each further one is asked after FetchPatience.
 func TestSilentPeersAreNotWaitedForInTurn(t *testing.T) {
 	var f Fetches
 	peers := []netip.AddrPort{peerA, peerB, peerC}
 	for i, want := range peers {
-		now := time.Duration(i) * fetchPatience
+		now := time.Duration(i) * FetchPatience
 		if i > 0 && f.MayBegin(now-1) {
 			t.Errorf("%v may be asked before the patience with the peer before it ended", want)
 		}
@@ -58,9 +58,9 @@
 func TestRefusalsAreNotAwaitedInTurn(t *testing.T) {
 	var f Fetches
 	peers := []netip.AddrPort{peerA, peerB, peerC}
-	for now := time.Duration(0); now < 2*fetchPatience; now += fetchPatience / 4 {
+	for now := time.Duration(0); now < 2*FetchPatience; now += FetchPatience / 4 {
 		r, ok := f.Begin(now, peers)
-		if want := now < fetchPatience; !ok || f.Awaits(now) != want {
+		if want := now < FetchPatience; !ok || f.Awaits(now) != want {
 			t.Errorf("after %v: awaits an answer %v, want %v", now, f.Awaits(now), want)
 		}
 		f.Ended(now, r, false)
@@ -78,14 +78,14 @@
 	var f Fetches
 	one := []netip.AddrPort{peerA}
 	first, _ := f.Begin(0, one)
-	if !f.Awaits(fetchPatience-1) || f.Awaits(fetchPatience) {
-		t.Error("an answer is awaited for another time than fetchPatience")
+	if !f.Awaits(FetchPatience-1) || f.Awaits(FetchPatience) {
+		t.Error("an answer is awaited for another time than FetchPatience")
 	}
-	second, ok := f.Begin(fetchPatience, one)
+	second, ok := f.Begin(FetchPatience, one)
 	if !ok || second.From != peerA || second.ID == first.ID {
 		t.Errorf("second request %+v, %v", second, ok)
 	}
-	f.Ended(fetchPatience, first, false)
+	f.Ended(FetchPatience, first, false)
 	if o, ok := f.Oldest(); !ok || o != second {
 		t.Errorf("oldest request %+v, %v, want %+v", o, ok, second)
 	}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -18,13 +18,15 @@
 	lastDataCenterRank = 4
 	// rankStep is added for each rank in the data centre.
 	rankStep = 250 * time.Millisecond
-	// lastRank is the highest rank that is distinguished. It bounds the age at which every
-	// balancer that awaits nothing from a peer reads the store itself to 2.45 s, below the
-	// 3 s in which changes have to be in force.
+	// lastRank is the highest rank that is distinguished.
 	lastRank = 3
 	// readPatience is how long a read may take until the balancer counts as one that does
 	// not read, and asks its peers as well.
 	readPatience = 600 * time.Millisecond
+	// MaxFollowAge is the age of the replica above which any balancer reads the store itself,
+	// whatever it hears. Requests to peers put that off for FetchPatience at most. Changes
+	// have to be in force within 3 s.
+	MaxFollowAge = takeoverAge + lastDataCenterRank*dataCenterStep + lastRank*rankStep
 	// MaxReadInterval bounds the interval after failed reads.
 	MaxReadInterval = 1600 * time.Millisecond
 )
@@ -64,7 +66,7 @@
 // reader whose reads fail therefore stops while its replica is fresh.
 func (r *Reader) Decide(p Place, age time.Duration, hasActiveReader, awaits bool) bool {
 	switch {
-	case p == Place{}, age > p.maxAge(hasActiveReader) && !awaits:
+	case p == Place{}, age > p.maxAge(hasActiveReader, awaits):
 		r.reading = true
 	case hasActiveReader, r.failed > 0:
 		r.reading = false
@@ -98,11 +100,15 @@
 }
 
 // maxAge returns the age of the replica above which a balancer at this place reads the
-// store. One that hears a reader waits as long as the last in order.
-func (p Place) maxAge(hasActiveReader bool) time.Duration {
+// store. One that hears a reader waits as long as the last in order, and one that awaits
+// changes from a peer waits for those.
+func (p Place) maxAge(hasActiveReader, awaits bool) time.Duration {
 	if hasActiveReader {
 		p = LastPlace
 	}
+	if awaits {
+		return p.maxAge(false, false) + FetchPatience
+	}
 	return takeoverAge + time.Duration(min(p.DataCenterRank, lastDataCenterRank))*dataCenterStep + time.Duration(min(p.Rank, lastRank))*rankStep
 }
 
--- a/internal/replica/reader_test.go
+++ b/internal/replica/reader_test.go
@@ -40,6 +40,9 @@
 	if r.Decide(Place{Rank: 2}, 2500*time.Millisecond, true, true) {
 		t.Error("reads although a peer may still answer")
 	}
+	if !new(Reader).Decide(Place{Rank: 2}, MaxFollowAge+FetchPatience+1, true, true) {
+		t.Error("waits for a peer for longer than FetchPatience")
+	}
 	if !r.Decide(Place{Rank: 2}, 2500*time.Millisecond, true, false) {
 		t.Error("does not read although the replica is old")
 	}
