soak: connections between balancers go silent, with changes in series beside it

The soak silenced connections to the store only, one balancer's at a time, and looked at versions once, 5 s after the last fault; so it could not see this incident. Every other balancer of TestSoak now runs in a process whose accepted connections can be silenced (the test program with edge.WithListen), and connections go silent repeatedly beside the other faults.

TestChangesBesideSilence makes changes in series, several at a time, while open connections of half or all balancers go silent and one balancer after another is killed, stopped, paused and started again. Each version has to be in force 3 s later at all balancers that have not been disturbed for 4 s.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -82,6 +82,7 @@
 		background.Go(func() { w.restoreBackups(rand.New(rand.NewPCG(seed, 9)), end) })
 	}
 	background.Go(func() { w.repeatOverloads(rand.New(rand.NewPCG(seed, 10)), end) })
+	background.Go(func() { w.silenceRepeatedly(rand.New(rand.NewPCG(seed, 13)), end) })
 	background.Go(func() { w.slowTargets(rand.New(rand.NewPCG(seed, 11)), end) })
 	for time.Now().Before(end) {
 		w.injectFault(rng)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -75,7 +75,9 @@
 	started time.Time
 	out     *os.File
 	ready   atomic.Bool // by pollReadiness
-	down    bool        // killed or paused by a fault
+	// silenceable is set if the process silences its open connections at silenceSignal.
+	silenceable bool
+	down        bool // killed or paused by a fault
 }
 
 // tracked is a target and the faults and changes applied to it.
@@ -95,7 +97,19 @@
 	return netip.AddrFrom4([4]byte{127, n, byte(w.block*3 + role), byte(i + 1)})
 }
 
+// newWorld starts a deployment in which every other balancer is silenceable.
 func newWorld(t *testing.T, block int) *world {
+	t.Helper()
+	return startWorld(t, block, func(i int) bool { return i%2 == 1 })
+}
+
+// newSilenceableWorld starts a deployment of silenceable balancers.
+func newSilenceableWorld(t *testing.T, block int) *world {
+	t.Helper()
+	return startWorld(t, block, func(int) bool { return true })
+}
+
+func startWorld(t *testing.T, block int, isSilenceable func(i int) bool) *world {
 	t.Helper()
 	w := &world{t: t, block: block, faultCounts: map[string]int{}}
 	var err error
@@ -125,7 +139,7 @@
 		w.addTarget("scan-store")
 	}
 	for i := range envNumber(t, "SOAK_BALANCERS", defaultBalancers) {
-		w.addNode(i)
+		w.addNode(i, isSilenceable(i) && os.Getenv("SOAK_OLD") == "")
 	}
 	for _, n := range w.nodes {
 		for end := time.Now().Add(5 * time.Second); !n.ready.Load(); time.Sleep(10 * time.Millisecond) {
@@ -154,13 +168,13 @@
 	w.known.Store(&known)
 }
 
-func (w *world) addNode(i int) {
+func (w *world) addNode(i int, isSilenceable bool) {
 	relay, err := direct.NewRelay(w.store.Addr)
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(relay.Close)
-	n := &node{addr: w.ip(0, i), relay: relay, boot: filepath.Join(w.dir, "boot-"+w.ip(0, i).String()+".json")}
+	n := &node{addr: w.ip(0, i), relay: relay, silenceable: isSilenceable, boot: filepath.Join(w.dir, "boot-"+w.ip(0, i).String()+".json")}
 	settings := direct.Settings{
 		VM: n.addr.String(), DataCenter: dataCenter(i), GraceS: 4, Store: relay.Addr,
 		Data: netip.AddrPortFrom(n.addr, dataPort), Ready: netip.AddrPortFrom(n.addr, 17001), Control: netip.AddrPortFrom(n.addr, 17002),
@@ -181,7 +195,10 @@
 
 // program returns the path of the program to start. If SOAK_OLD names an older build,
 // every other start uses it, as during the upgrade of a fleet.
-func (w *world) program() string {
+func (w *world) program(n *node) string {
+	if n.silenceable {
+		return os.Args[0]
+	}
 	old := os.Getenv("SOAK_OLD")
 	if old != "" && w.starts.Add(1)%2 == 0 {
 		return old
@@ -191,8 +208,11 @@
 
 // start starts a balancer's process. Only processes started here are ever ended.
 func (w *world) start(n *node) {
-	n.cmd = exec.Command(w.program())
+	n.cmd = exec.Command(w.program(n))
 	n.cmd.Env = append(os.Environ(), "ROSEDALE_BOOT="+n.boot)
+	if n.silenceable {
+		n.cmd.Env = append(n.cmd.Env, silenceable+"=1")
+	}
 	n.cmd.Stdout, n.cmd.Stderr = n.out, n.out
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.cmd.Start(); err != nil {
