platform: changes that exceed a response are listed

Cause: a response was cut at 4 MiB, the cut text taken for a lost store, and the same changes, which only grow, asked for again until the store dropped its history.

A response beyond the limit is an error of its own that names the limit (ErrTooLarge), is counted (store_reads_too_large), logged, and leads to a listing in the same read, like compacted history.

--- a/internal/edge/counts.go
+++ b/internal/edge/counts.go
@@ -8,6 +8,7 @@
 	heartbeatsSent, heartbeatsLost               atomic.Uint64
 	invalidHeartbeats, invalidItems              atomic.Uint64
 	readFailures, fetchFailures, leaseFailures   atomic.Uint64
+	readsTooLarge                                atomic.Uint64 // of changes of the store, which was listed instead
 	fetchHedges                                  atomic.Uint64 // requests for changes beside one that is late
 	copiesSent, copiesRefused                    atomic.Uint64 // full copies
 	checks, checksFailed                         atomic.Uint64
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -33,6 +33,7 @@
 	m.Counter("store_calls", e.control.store.Calls)
 	m.Counter("store_hedges", e.control.store.Hedges)
 	m.Counter("store_read_failures", n.readFailures.Load)
+	m.Counter("store_reads_too_large", n.readsTooLarge.Load)
 	m.Counter("store_eras_begun", n.erasBegun.Load)
 	m.Counter("listings_outdated", n.listingsOutdated.Load)
 	m.Counter("catalogues_older", n.cataloguesOlder.Load)
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -19,6 +19,7 @@
 	items     []replica.Item
 	position  revision.Revision
 	startedAt time.Duration // the result is at least as recent as this
+	listedFor error         // why the store was listed instead of its changes, or nil
 	err       error
 }
 
@@ -77,15 +78,22 @@
 	res := readResult{startedAt: now, first: first}
 	if !first {
 		res.items, res.position, res.err = c.store.Watch(ctx, position, 0)
-		if !errors.Is(res.err, platform.ErrCompacted) && !errors.Is(res.err, platform.ErrNewEra) {
+		if !needsListing(res.err) {
 			return res
 		}
+		res.listedFor = res.err
 	}
 	res.full = true
 	res.items, res.position, res.err = c.store.List(ctx, "")
 	return res
 }
 
+// needsListing reports whether the changes that were requested cannot be had, so that only a
+// listing of the store helps.
+func needsListing(err error) bool {
+	return errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrNewEra) || errors.Is(err, platform.ErrTooLarge)
+}
+
 func (c *control) handleRead(res readResult) {
 	now := c.now()
 	if res.first && res.err != nil && c.replica.Loaded() {
@@ -102,6 +110,10 @@
 		return
 	}
 	c.readDone = now
+	if errors.Is(res.listedFor, platform.ErrTooLarge) {
+		c.edge.counts.readsTooLarge.Add(1)
+		c.log.Warn("changes of the store were too large and it was listed", zap.Stringer("position", res.position), zap.Error(res.listedFor))
+	}
 	if res.full {
 		c.noteOutdated(res)
 		c.applyCopy(res.items, res.position, res.startedAt, "store")
