direct: an opening on a reused port is placed anew

What a caller would see: its new connection goes to the target of the earlier one on the same port, as long as the balancer still has that as open, although the route has moved to another service or the target drains.

Cause: any opening on an open flow's port counted as a delayed copy of that flow's opening. The sequence number tells them apart where the balancer saw the opening; of flows that it adopted later it is unknown, and they are as before.

TestReusedPortGetsANewFlow: "the later connection went to 1: forwarded, want 2" before. TestLateCopyCarriesTheCookie stays.

--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -154,7 +154,7 @@
 func (f *Forwarder) handleOpening(now time.Duration, s *Segment, r *Route) Decision {
 	old := f.flows[s.Flow()]
 	var tried [2]TargetID
-	if old != nil && old.open && !old.ended {
+	if old != nil && old.open && !old.ended && old.isCopy(s) {
 		// A delayed copy of the opening. The target's answer must carry the cookie again, or
 		// the caller would lose it.
 		d := f.forward(old.target, Forwarded)
--- a/internal/direct/forwarder_test.go
+++ b/internal/direct/forwarder_test.go
@@ -65,6 +65,31 @@
 	}
 }
 
+// A caller uses a port again whose earlier flow still counts as open here, and its route has moved
+// to another service meanwhile. The new flow must go where the route leads now, and not to the
+// earlier flow's target, which may drain.
+func TestReusedPortGetsANewFlow(t *testing.T) {
+	moved := Target{ID: 2, Service: "moved", Addr: netip.MustParseAddrPort("10.0.0.2:80"), DataCenter: "a", Slots: 2}
+	b := newFixture(t, target1(1, "a"), moved)
+	b.openFlow(1, streams)
+	c := testCatalogue()
+	c.Version++
+	r := c.Routes[streams]
+	r.Backends = []Backend{{"moved", 1}}
+	c.Routes[streams] = r
+	c.Services["moved"] = c.Services["s"]
+	b.f.SetCatalogue(c)
+	again := packet(1, streams, SYN, 0)
+	again.Seq = 4711
+	if d := b.handle(again); d.Target.ID != moved.ID || d.Reason != OpenedNear {
+		t.Errorf("the later connection went to %d: %v, want %d", d.Target.ID, d.Reason, moved.ID)
+	}
+	b.handle(packet(1, streams, ACK, moved.ID.Cookie()))
+	if d := b.handle(again); d.Target.ID != moved.ID || !d.SetCookie {
+		t.Errorf("a copy of its opening went to %d", d.Target.ID)
+	}
+}
+
 func TestFlowTableIsBounded(t *testing.T) {
 	b := newFixture(t, target1(1, "a"))
 	for i := range 3000 {
--- a/internal/direct/observe.go
+++ b/internal/direct/observe.go
@@ -16,7 +16,7 @@
 	if len(f.flows) >= f.maxFlows {
 		return nil
 	}
-	fl := &flow{key: s.Flow(), target: t, triedTargets: tried, firstSeen: now, lastSeen: now, requestedAt: now, maxEnd: s.Seq + 1}
+	fl := &flow{key: s.Flow(), target: t, triedTargets: tried, firstSeen: now, lastSeen: now, requestedAt: now, sawOpening: true, opening: s.Seq, maxEnd: s.Seq + 1}
 	// A request follows the opening, so the target counts as busy with it until the caller's
 	// next packet, which may begin it.
 	fl.busy = true
