--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -104,14 +104,20 @@
 	}
 }
 
-// encodeHeartbeat encodes a heartbeat. If it is too long it omits the outcomes, without
-// which peers only balance less well.
+// encodeHeartbeat encodes a heartbeat. If it is too long it omits the outcomes, and then the
+// loads, without which peers only balance less well. If it stayed too long, peers would take this
+// balancer for lost.
 func encodeHeartbeat(h peer.Heartbeat) ([]byte, error) {
 	b, err := peer.Encode(h)
 	if err != nil || len(b) <= peer.MaxMessage {
 		return b, err
 	}
 	h.Outcomes = nil
+	b, err = peer.Encode(h)
+	if err != nil || len(b) <= peer.MaxMessage {
+		return b, err
+	}
+	h.Loads = nil
 	return peer.Encode(h)
 }
 
--- a/internal/edge/heartbeat_test.go
+++ b/internal/edge/heartbeat_test.go
@@ -48,6 +48,30 @@
 	}
 }
 
+// Most of 50 targets are suspected. The heartbeat must still fit a datagram, or peers would not
+// hear of this balancer's position at all.
+func TestHeartbeatWithManyFindingsFitsADatagram(t *testing.T) {
+	h := peer.Heartbeat{
+		From: strings.Repeat("x", 40), DataCenter: strings.Repeat("y", 20), Control: netip.MustParseAddrPort("10.200.200.200:17002"),
+		Position: 1 << 40, LastChange: 1 << 40, Age: time.Second, Reading: true, Version: 1 << 40, History: 1 << 40, Era: 9, Settling: time.Second,
+	}
+	for i := range peer.MaxLoads {
+		h.Loads = append(h.Loads, peer.TargetLoad{ID: 1<<63 + uint64(i), Flows: 300, Busy: 300})
+	}
+	for i := range peer.MaxSuspected {
+		h.Suspected = append(h.Suspected, 1<<63+uint64(i))
+		h.Dead = append(h.Dead, i)
+	}
+	b, err := encodeHeartbeat(h)
+	if err != nil || len(b) > peer.MaxMessage {
+		t.Fatalf("the heartbeat has %d bytes, error %v", len(b), err)
+	}
+	var got peer.Heartbeat
+	if err := peer.Decode(b, &got); err != nil || got.Position != h.Position || len(got.Suspected) != len(h.Suspected) || len(got.Dead) != len(h.Dead) {
+		t.Errorf("received position %d, %d suspected, %d dead, error %v", got.Position, len(got.Suspected), len(got.Dead), err)
+	}
+}
+
 // silentMember registers a balancer that sends nothing, and returns the socket on which it
 // receives heartbeats.
 func (d *deployment) silentMember(dataCenter string, i int) *net.UDPConn {
