replica: the changes kept for peers are bounded in bytes

- The log has a bound in bytes, a sixteenth of the VM's memory limit and 8 MiB at most.
Beyond it superseded changes go first, then the oldest; a peer that needs those gets a full copy.
Peers get the last change of each key only.
- Answers on their way to peers are bounded by a sixteenth of the memory; one more is refused with 503 (peer_answers_refused), and the peer asks on.
- Answers that exceed a limit are a typed error, counted, and lead to a full copy (peer.ErrTooLarge; they were cut in silence before).
- Go's runtime collects garbage more often from 70 % of the VM's limit on.

TestSinceAndLog wrote one key again and again to show that the log is bounded. Only its last change is kept now, which answers any revision; the test writes a key of its own for each revision, and checks the length of the log as well.

--- a/cmd/rosedale-edge/main.go
+++ b/cmd/rosedale-edge/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
@@ -21,6 +22,16 @@
 	"rosedale.dev/rosedale/platform"
 )
 
+// heapPercent is the share of the VM's memory limit from which on garbage is collected more often.
+const heapPercent = 70
+
+// limitHeap sets the memory limit of the Go runtime for a VM, if the VM has a limit.
+func limitHeap(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryMB) << 20 * heapPercent / 100)
+	}
+}
+
 func main() { cli.Main("rosedale-edge", run) }
 
 func run(args []string) error {
@@ -62,6 +73,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	go edge.Reload(reload, *config, log)
+	limitHeap(boot.MemoryMB)
 	return edge.Run(ctx, boot, off, log)
 }
 
--- a/internal/edge/catchup.go
+++ b/internal/edge/catchup.go
@@ -98,6 +98,9 @@
 	}
 	from := sources[slices.Index(peers, f.From)]
 	after := c.replica.Position().At(c.replica.After(from.era, from.history))
+	if c.wantsCopy {
+		after.Number = 0
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	c.cancelFetch[f.ID] = cancel
 	go func() {
--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -46,10 +46,13 @@
 		return nil, errors.Wrap(trace.Wrap(err), "changes")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxChanges))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxChanges+1))
 	if err != nil {
 		return nil, errors.Wrapf(trace.Wrap(err), "changes from %s", from)
 	}
+	if len(b) > maxChanges {
+		return nil, errors.Wrapf(peer.ErrTooLarge, "changes from %s: more than %d bytes", from, maxChanges)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("changes from %s: status %d", from, resp.StatusCode)
 	}
@@ -57,19 +60,30 @@
 	return ch, peer.Decode(b, ch)
 }
 
+// noteTooLarge makes the next request ask for a full copy if an answer was too large.
+func (c *control) noteTooLarge(err error) {
+	if errors.Is(err, peer.ErrTooLarge) {
+		c.edge.counts.changesTooLarge.Add(1)
+		c.wantsCopy = true
+	}
+}
+
 // handleFetched applies an answer to a request for changes. It reports whether it was one.
 func (c *control) handleFetched(ch *peer.Changes, requestedAt time.Duration, from netip.AddrPort, err error) bool {
 	if err != nil {
 		c.edge.counts.fetchFailures.Add(1)
+		c.noteTooLarge(err)
 		c.log.Warn("changes not fetched", zap.Stringer("peer", from), zap.Duration("after", c.now()-requestedAt), connectionField(err), zap.Error(err))
 		return false
 	}
 	items, err := peer.Unpack(ch.Packed)
 	if err != nil {
 		c.edge.counts.fetchFailures.Add(1)
+		c.noteTooLarge(err)
 		c.log.Error("changes could not be unpacked", zap.Stringer("peer", from), zap.Error(err))
 		return false
 	}
+	c.wantsCopy = false
 	proven := requestedAt - ch.Age
 	if ch.Full {
 		c.applyCopy(items, ch.Revision(), proven, from.String())
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -62,9 +62,11 @@
 	readDone       time.Duration // when the last successful read ended
 	fetches        replica.Fetches
 	cancelFetch    map[int]context.CancelFunc // of the requests under way, by replica.Fetch.ID
+	wantsCopy      bool                       // the last changes of a peer were too large
 	lag            replica.Lag
 	lagLogged      bool          // the present lag has been logged
 	oldTurn        int           // selects the balancer to ask next while the replica is old
+	answerBytes    atomic.Int64  // size of the answers on their way to peers
 	copySlots      chan struct{} // has an element for each requested full copy being sent
 	firstCopy      *replica.FirstCopy
 	sourcesWritten time.Duration // when this balancer last wrote the sources; see writeSourcesIfDue
@@ -111,6 +113,7 @@
 		unregistered: map[string]bool{},
 		cancelFetch:  map[int]context.CancelFunc{},
 	}
+	c.replica.LimitLog(logBytes(e.boot.MemoryMB))
 	c.stepBack.Start(c.now())
 	return c, c.serve()
 }
@@ -192,6 +195,7 @@
 	c.edge.proven.Store(int64(now - age))
 	c.era.Store(c.replica.Position().Era)
 	c.reportLag(now)
+	c.edge.logBytes.Store(int64(c.replica.LogBytes()))
 	c.edge.times.age.RecordDuration(age)
 	c.applyDeferredIfDue(now)
 	c.lease.renewIfDue(ctx, c, now)
--- a/internal/edge/counts.go
+++ b/internal/edge/counts.go
@@ -9,6 +9,8 @@
 	invalidHeartbeats, invalidItems              atomic.Uint64
 	readFailures, fetchFailures, leaseFailures   atomic.Uint64
 	readsTooLarge                                atomic.Uint64 // of changes of the store, which was listed instead
+	changesTooLarge                              atomic.Uint64 // answers of peers
+	answersRefused                               atomic.Uint64 // to peers, as too much is being sent
 	fetchHedges                                  atomic.Uint64 // requests for changes beside one that is late
 	copiesSent, copiesRefused                    atomic.Uint64 // full copies
 	checks, checksFailed                         atomic.Uint64
--- a/internal/edge/servechanges.go
+++ b/internal/edge/servechanges.go
@@ -23,6 +23,20 @@
 	maxCopiesWide   = 16
 )
 
+const (
+	// memoryShare is the divisor of the memory limit that gives the share for changes kept for
+	// peers, and that for answers to them.
+	memoryShare = 16
+	// maxLogBytes bounds the changes that are kept, below the limits of an answer.
+	maxLogBytes = 8 << 20
+)
+
+// logBytes returns the size of the changes to keep for peers on a VM.
+func logBytes(memoryMB int) int { return min(max(memoryMB, 1)<<20/memoryShare, maxLogBytes) }
+
+// maxAnswerBytes returns the size of the answers that may be on their way to peers at once.
+func maxAnswerBytes(memoryMB int) int64 { return int64(max(memoryMB, 1)<<20) / memoryShare }
+
 // serve starts the server for balancers that lag behind.
 //
 // Guards against a balancer that loses power while it receives a full copy. Its slot
@@ -139,11 +153,20 @@
 	return maxCopiesNarrow
 }
 
+// writeChanges sends an answer unless too much is on its way already, as to peers that read
+// slowly. It runs on the server's goroutines.
 func (c *control) writeChanges(w http.ResponseWriter, ch *peer.Changes) {
 	if ch == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	size := int64(len(ch.Packed))
+	defer c.answerBytes.Add(-size)
+	if sum := c.answerBytes.Add(size); sum > size && sum > maxAnswerBytes(c.edge.boot.MemoryMB) {
+		c.edge.counts.answersRefused.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	b, err := peer.Encode(ch)
 	if err != nil {
 		c.log.Error("control: changes not encoded", zap.Error(err))
--- a/internal/peer/pack.go
+++ b/internal/peer/pack.go
@@ -11,6 +11,10 @@
 	"rosedale.dev/rosedale/internal/revision"
 )
 
+// ErrTooLarge means that a balancer's answer exceeds a limit. A full copy may be smaller than the
+// changes.
+var ErrTooLarge = errors.New("answer is too large")
+
 // maxUnpacked limits unpacked items, in bytes. A catalogue of 1 MB with the
 // registrations of 6,400 targets and 600 balancers fits well within it.
 const maxUnpacked = 32 << 20
@@ -41,10 +45,13 @@
 // Unpack decompresses and decodes items packed by Pack.
 func Unpack(b []byte) ([]replica.Item, error) {
 	r := flate.NewReader(bytes.NewReader(b))
-	plain, err := io.ReadAll(io.LimitReader(r, maxUnpacked))
+	plain, err := io.ReadAll(io.LimitReader(r, maxUnpacked+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "peer: unpack")
 	}
+	if len(plain) > maxUnpacked {
+		return nil, errors.Wrapf(ErrTooLarge, "peer: unpack: more than %d bytes", maxUnpacked)
+	}
 	var items []replica.Item
 	return items, Decode(plain, &items)
 }
--- a/internal/replica/era.go
+++ b/internal/replica/era.go
@@ -15,7 +15,9 @@
 // Changes are then acknowledged but never come into force.
 func (r *Replica) replaceEra(items []Item, position revision.Revision, proven time.Duration) []Item {
 	old := r.items
+	limit := r.maxLogBytes
 	*r = *New(r.significant)
+	r.LimitLog(limit)
 	out := missing(old, items, position.Number)
 	for _, i := range r.Replace(items, position, proven) {
 		before, known := old[i.Key]
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// logLength is the number of changes kept for peers that lag behind. A peer that lags
-	// further fetches all items.
-	logLength = 1024
 	// removalRetention is the number of revisions for which a removal is remembered, so
 	// that an older listing does not restore the item.
 	removalRetention = 100000
@@ -28,6 +25,8 @@
 	significant func(key string, old, new []byte) bool
 	items       map[string]Item
 	log         []Item
+	logBytes    int   // approximate memory use of log
+	maxLogBytes int   // beyond it, the oldest changes are dropped
 	logFrom     int64 // log holds all significant changes after this revision,
 	gaps        []gap // except for those in these gaps
 	lastChange  int64 // revision of the last significant change
@@ -45,7 +44,7 @@
 
 // New returns an empty replica.
 func New(significant func(key string, old, new []byte) bool) *Replica {
-	return &Replica{significant: significant, items: map[string]Item{}}
+	return &Replica{significant: significant, items: map[string]Item{}, maxLogBytes: defaultLogBytes}
 }
 
 // Loaded reports whether the replica has ever been filled from a full listing.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -164,7 +164,10 @@
 		t.Error("Since returned changes for a revision before the first listing, where some are unknown")
 	}
 	for rev := int64(11); rev < 11+3*logLength; rev++ {
-		r.Apply([]Item{put("a", strconv.FormatInt(rev, 10), rev)}, at(rev), 0)
+		r.Apply([]Item{put(strconv.FormatInt(rev, 10), "a", rev)}, at(rev), 0)
+		if len(r.log) > 2*logLength {
+			t.Fatalf("the log has %d changes", len(r.log))
+		}
 	}
 	if _, ok := r.Since(12); ok {
 		t.Error("the log is not bounded")
