direct: a packet with the cookie of a late answer gets the right one

When a retransmitted opening is answered twice, the caller returns the cookie of the later answer. The flow table sent its packets to the accepted target, but left the cookie, so that the caller lost its flow when the balancer restarted.

The balancer writes the accepted target's cookie into such packets; the target returns it, and the caller from then on. TestLaterCookieIsCorrected: "cookie written false" before. Only openings are logged as before.

--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -279,7 +279,10 @@
 	if t.uncheckedSinceExpiry() || t.dead && first >= t.deadCheckAt && f.canResetPending(t, s.Flow()) {
 		f.requestCheck(t)
 	}
-	return f.forward(t, reason)
+	d := f.forward(t, reason)
+	// The target's next answer brings the caller the cookie that a restarted balancer needs.
+	d.SetCookie = t.Cookie() != s.Cookie
+	return d
 }
 
 // targetOf returns the target of a packet's flow, or nil if it is unknown, and the reason to
--- a/internal/direct/forwarder_test.go
+++ b/internal/direct/forwarder_test.go
@@ -54,6 +54,22 @@
 	}
 }
 
+// A caller returns the cookie of the later of two answers. The balancer must write the accepted
+// target's cookie into its packets, so that the caller returns that one: a balancer that has just
+// started knows the flow by nothing else.
+func TestLaterCookieIsCorrected(t *testing.T) {
+	b := newFixture(t, target1(1, "a"), target1(2, "a"))
+	id := b.openFlow(1, streams)
+	other := TargetID(3 - id)
+	d := b.handle(packet(1, streams, ACK, other.Cookie()))
+	if d.Target.ID != id || !d.SetCookie {
+		t.Errorf("packet went to %d, want %d; cookie written %v", d.Target.ID, id, d.SetCookie)
+	}
+	if d := b.handle(packet(1, streams, ACK, id.Cookie())); d.SetCookie {
+		t.Error("the right cookie was written again")
+	}
+}
+
 // The answer to a copy of an opening that arrives after the flow has opened must carry the
 // cookie, or the caller would lose it.
 func TestLateCopyCarriesTheCookie(t *testing.T) {
--- a/internal/direct/reason.go
+++ b/internal/direct/reason.go
@@ -72,8 +72,8 @@
 	Verb   Verb
 	Reason Reason
 	Target *Target // where to forward to; owned by the Forwarder, read-only
-	// SetCookie requests that the target's cookie be written into the packet. An opening
-	// carries it to the target, which returns it to the caller.
+	// SetCookie requests that the target's cookie be written into the packet. An opening, and
+	// a packet with another cookie, carries it to the target, which returns it to the caller.
 	SetCookie bool
 	// Load is the chosen target's load in requests per slot, and Version is the catalogue's
 	// version. Both are inputs of the decision, for the log.
--- a/internal/edge/decisions.go
+++ b/internal/edge/decisions.go
@@ -13,7 +13,8 @@
 // follow from these decisions and are only counted. A held opening is logged when it is
 // released, with its wait.
 func (e *Edge) logDecision(now time.Duration, s *direct.Segment, d direct.Decision, id direct.TargetID) {
-	if d.Verb == direct.Forward && !d.SetCookie || d.Verb == direct.Hold {
+	isFollowing := d.Verb == direct.Forward && (!d.SetCookie || !s.Flags.Has(direct.SYN))
+	if isFollowing || d.Verb == direct.Hold {
 		return
 	}
 	e.log.Info("flow",
