direct: a draining target whose registration lapses with the store is checked

A removal that becomes known while the list of targets was unknown for 3 s, or within 2 s after that, may be a lapse: the target is checked like one that does not drain. Targets that leave at other times are treated as before.

--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -41,9 +41,10 @@
 	lastAlive      time.Duration // last sign of life of any target
 	counts         [reasonCount]uint64
 	nextSweep      time.Duration
-	measuredAt     time.Duration            // last run of measureWork
-	suspects       map[*target]bool         // targets that TargetsToCheck considers
-	listCompleteAt time.Duration            // see SetListCompleteAt
+	measuredAt     time.Duration    // last run of measureWork
+	suspects       map[*target]bool // targets that TargetsToCheck considers
+	listCompleteAt time.Duration    // see SetListCompleteAt
+	lapses         lapses
 	unknownCookies map[Cookie]time.Duration // first seen, for cookies without a target
 	// invalidRegistrations are targets whose registration was invalid when it arrived, and which
 	// this balancer does not have in targets, by cookie.
--- a/internal/direct/unknown.go
+++ b/internal/direct/unknown.go
@@ -41,7 +41,10 @@
 
 // SetListCompleteAt sets when the replica, with the list of targets and the catalogue, was
 // last known to be complete.
-func (f *Forwarder) SetListCompleteAt(at time.Duration) { f.listCompleteAt = at }
+func (f *Forwarder) SetListCompleteAt(at time.Duration) {
+	f.lapses.listKnown(f.listCompleteAt, at)
+	f.listCompleteAt = at
+}
 
 // routeRemoved reports whether the route of an open flow was certainly removed.
 //
--- a/internal/direct/update.go
+++ b/internal/direct/update.go
@@ -134,8 +134,8 @@
 }
 
 // RemoveTarget records that a registration was removed. If the target had announced that it
-// leaves, it has left and its flows are reset. Otherwise it may only be cut off from the
-// store: it is checked if it has flows here, or once a packet of one arrives, and the flows
+// leaves, it has left and its flows are reset, unless the store was away. Otherwise it may only
+// be cut off from the store: it is checked if it has flows here, or once a packet of one arrives, and the flows
 // are reset if the check fails.
 func (f *Forwarder) RemoveTarget(now time.Duration, id TargetID) {
 	if f.invalidRegistrations[id.Cookie()] == id {
@@ -147,7 +147,7 @@
 	}
 	x.departed = true
 	x.endedAt = now
-	x.left = x.Draining
+	x.left = x.Draining && !f.lapses.possible(now, f.listCompleteAt)
 	x.group.massExpiry.stale = true
 	x.expireShares()
 	if x.uncheckedSinceExpiry() && x.flows > 0 {
