replica: a peer that refuses requests is asked ten times a second at most

Found while reading the diff: since a failed request leads to the next one at once, a peer whose process has ended, and whose heartbeats count for another second, was asked as fast as it refused, on a sixteenth of a core.

--- a/internal/replica/fetches.go
+++ b/internal/replica/fetches.go
@@ -13,6 +13,9 @@
 	FetchPatience = 300 * time.Millisecond
 	// maxFetches bounds the requests that are under way at once.
 	maxFetches = 3
+	// retryPause is how long a peer that failed is not asked again: one whose process has
+	// ended refuses connections at once.
+	retryPause = 100 * time.Millisecond
 	// failureRetention is how long a peer that did not answer is asked after the others.
 	failureRetention = 5 * time.Second
 )
@@ -39,6 +42,7 @@
 // Begin returns the request to make now, given the peers that have changes in order of
 // preference. It returns false if none is to be made yet. It is under way until Ended.
 func (f *Fetches) Begin(now time.Duration, peers []netip.AddrPort) (Fetch, bool) {
+	peers = slices.DeleteFunc(slices.Clone(peers), func(p netip.AddrPort) bool { return f.failedWithin(now, p, retryPause) })
 	if len(peers) == 0 || !f.MayBegin(now) {
 		return Fetch{}, false
 	}
@@ -104,16 +108,20 @@
 // cost orders peers: those that are not being asked and did not fail recently first.
 func (f *Fetches) cost(now time.Duration, peer netip.AddrPort) int {
 	asked := slices.ContainsFunc(f.pending, func(p Fetch) bool { return p.From == peer })
-	at, failed := f.failed[peer]
 	switch {
 	case asked:
 		return 2
-	case failed && now-at < failureRetention:
+	case f.failedWithin(now, peer, failureRetention):
 		return 1
 	}
 	return 0
 }
 
+func (f *Fetches) failedWithin(now time.Duration, peer netip.AddrPort, d time.Duration) bool {
+	at, failed := f.failed[peer]
+	return failed && now-at < d
+}
+
 func (f *Fetches) forgetFailures(now time.Duration) {
 	for p, at := range f.failed {
 		if now-at >= failureRetention {
