sockopt: one function sets an option of a socket

The same seven lines around SetsockoptInt stood in three places: the user timeout of TCP (internal/sockopt), the arrival times of heartbeats (internal/edge) and shared ports (internal/forward). sockopt.Set serves all three; no change of behaviour. Checked with make lint and the tests of forward, store, platform, architecture and those of edge on arrivals and silence.

--- a/internal/edge/arrival.go
+++ b/internal/edge/arrival.go
@@ -9,6 +9,8 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+
+	"rosedale.dev/rosedale/internal/sockopt"
 )
 
 // heartbeatConn is the socket for heartbeats. The kernel records when a datagram arrives, so
@@ -41,14 +43,7 @@
 	if err != nil {
 		return err
 	}
-	var optErr error
-	err = raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_TIMESTAMPNS, 1)
-	})
-	if err != nil {
-		return err
-	}
-	return optErr
+	return sockopt.Set(raw, unix.SOL_SOCKET, unix.SO_TIMESTAMPNS, 1)
 }
 
 // read reads a datagram into b and returns its size and how long it waited in the socket.
--- a/internal/forward/socket.go
+++ b/internal/forward/socket.go
@@ -13,6 +13,8 @@
 	"golang.org/x/net/ipv4"
 	"golang.org/x/net/ipv6"
 	"golang.org/x/sys/unix"
+
+	"rosedale.dev/rosedale/internal/sockopt"
 )
 
 // batcher sends and receives several datagrams in one system call.
@@ -41,14 +43,7 @@
 
 // reusePort lets several sockets listen on the same address.
 func reusePort(_, _ string, c syscall.RawConn) error {
-	var opt error
-	err := c.Control(func(fd uintptr) {
-		opt = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
-	})
-	if err != nil {
-		return err
-	}
-	return opt
+	return sockopt.Set(c, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
 }
 
 // batch returns the batcher of c for the address family of addr.
