--- a/internal/direct/update.go
+++ b/internal/direct/update.go
@@ -135,8 +135,8 @@
 
 // RemoveTarget records that a registration was removed. If the target had announced that it
 // leaves, it has left and its flows are reset, unless the store was away. Otherwise it may only
-// be cut off from the store: it is checked if it has flows here, or once a packet of one arrives, and the flows
-// are reset if the check fails.
+// be cut off from the store: it is checked if it has flows here, or once a packet of one arrives,
+// and the flows are reset if the check fails.
 func (f *Forwarder) RemoveTarget(now time.Duration, id TargetID) {
 	if f.invalidRegistrations[id.Cookie()] == id {
 		delete(f.invalidRegistrations, id.Cookie())
