edge: peers that are ahead are looked up only when one may be asked

Each heartbeat that showed a missing change had all peers that are ahead collected and sorted, also while a request was under way that may still be answered, and nothing was to be asked. Fetches.MayBegin is asked first. The order of peers is one comparison now: distance, then name.

--- a/internal/edge/catchup.go
+++ b/internal/edge/catchup.go
@@ -1,11 +1,11 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,15 +50,7 @@
 			ahead = append(ahead, name)
 		}
 	}
-	slices.SortFunc(ahead, func(a, b string) int {
-		if nearA, nearB := c.isNear(a), c.isNear(b); nearA != nearB {
-			if nearA {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a, b)
-	})
+	slices.SortFunc(ahead, func(a, b string) int { return cmp.Or(c.distance(a)-c.distance(b), cmp.Compare(a, b)) })
 	var out []source
 	for _, name := range ahead {
 		out = append(out, sourceOf(c.peers[name].last))
@@ -66,15 +58,18 @@
 	return out
 }
 
-// isNear reports whether a peer is in this data centre.
-func (c *control) isNear(name string) bool {
-	return c.peers[name].last.DataCenter == c.edge.boot.DataCenter
+// distance returns 0 for a peer of this data centre, and 1 for others.
+func (c *control) distance(name string) int {
+	if c.peers[name].last.DataCenter == c.edge.boot.DataCenter {
+		return 0
+	}
+	return 1
 }
 
 // catchUp asks a peer that has changes which this replica lacks, unless this balancer's own
 // read will bring them.
 func (c *control) catchUp(ctx context.Context, now time.Duration) {
-	if c.lag.For(now) > 0 && !c.reader.Succeeding(now) {
+	if c.lag.For(now) > 0 && !c.reader.Succeeding(now) && c.fetches.MayBegin(now) {
 		c.fetchFromAny(ctx, now, c.sourcesAhead(now))
 	}
 }
