edge: logs and metrics tell how reads of the store fail, and whether from one position

Reads that failed again and again looked like a lost store: store lost was logged for the first only, without the position and without how far the answer had come, and one counter served all causes.

No change of what is decided.

Tests of platform and internal/edge pass.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -81,6 +81,7 @@
 	stepBack          stepback.Decider
 	ticks             int
 	storeLost         bool // the last read of the store failed
+	failedReads       failedReads
 }
 
 // peerState is the state of another balancer according to its heartbeats.
--- a/internal/edge/counts.go
+++ b/internal/edge/counts.go
@@ -1,6 +1,10 @@
 package edge
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"rosedale.dev/rosedale/platform"
+)
 
 // counts holds counters since the start of the process.
 type counts struct {
@@ -8,6 +12,7 @@
 	heartbeatsSent, heartbeatsLost               atomic.Uint64
 	invalidHeartbeats, invalidItems              atomic.Uint64
 	readFailures, fetchFailures, leaseFailures   atomic.Uint64
+	readFailuresBy                               [platform.Unusable + 1]atomic.Uint64
 	readsTooLarge                                atomic.Uint64 // of changes of the store, which was listed instead
 	changesTooLarge                              atomic.Uint64 // answers of peers
 	answersRefused                               atomic.Uint64 // to peers, as too much is being sent
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -58,10 +58,12 @@
 	stopping atomic.Bool  // a planned stop has begun
 	proven   atomic.Int64 // when the replica was last known to be current, as time.Duration since start
 	behind   atomic.Int64 // how long the replica has lacked a change that a peer has, as time.Duration
-	logBytes atomic.Int64 // memory use of the changes that are kept for peers, in bytes
-	counts   counts
-	failed   chan error // receives the error of a socket that cannot be read any more
-	listen   ListenFunc // for connections of other balancers
+	// readsFailedHere counts the reads of the store that failed in a row at the replica's position.
+	readsFailedHere atomic.Int64
+	logBytes        atomic.Int64 // memory use of the changes that are kept for peers, in bytes
+	counts          counts
+	failed          chan error // receives the error of a socket that cannot be read any more
+	listen          ListenFunc // for connections of other balancers
 }
 
 // ListenFunc opens a listening socket, as net.Listen does.
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -5,6 +5,7 @@
 
 	"rosedale.dev/rosedale/internal/direct"
 	"rosedale.dev/rosedale/internal/metrics"
+	"rosedale.dev/rosedale/platform"
 )
 
 func (e *Edge) publish(m *metrics.Collector) {
@@ -33,6 +34,10 @@
 	m.Counter("store_calls", e.control.store.Calls)
 	m.Counter("store_hedges", e.control.store.Hedges)
 	m.Counter("store_read_failures", n.readFailures.Load)
+	for _, f := range platform.Failures() {
+		m.Counter("store_read_failures_"+f.String(), n.readFailuresBy[f].Load)
+	}
+	m.Gauge("store_reads_failed_here", func() float64 { return float64(e.readsFailedHere.Load()) })
 	m.Counter("store_reads_too_large", n.readsTooLarge.Load)
 	m.Counter("store_eras_begun", n.erasBegun.Load)
 	m.Counter("listings_outdated", n.listingsOutdated.Load)
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -104,12 +104,12 @@
 		res.err = errors.Errorf("store: answer is of era %d, but the replica is of era %d", res.position.Era, c.replica.Position().Era)
 	}
 	c.readAt = max(res.startedAt, now-replica.ReadInterval) + c.reader.Done(res.err == nil)
-	c.logStoreState(res)
+	c.noteRead(res)
 	if res.err != nil {
-		c.edge.counts.readFailures.Add(1)
 		return
 	}
 	c.readDone = now
+	c.noteReadTime(res.startedAt)
 	if errors.Is(res.listedFor, platform.ErrTooLarge) {
 		c.edge.counts.readsTooLarge.Add(1)
 		c.log.Warn("changes of the store were too large and it was listed", zap.Stringer("position", res.position), zap.Error(res.listedFor))
@@ -139,16 +139,3 @@
 		c.edge.times.change.RecordDuration(c.now() - requestedAt)
 	}
 }
-
-// logStoreState logs when the store becomes unreachable and when it is reachable again.
-func (c *control) logStoreState(res readResult) {
-	if lost := res.err != nil; lost != c.storeLost {
-		c.storeLost = lost
-		if lost {
-			c.log.Warn("store lost", zap.Duration("age", c.replica.Age(c.now())), zap.Duration("after", c.now()-res.startedAt), connectionField(res.err), zap.Error(res.err))
-		} else {
-			c.log.Info("store regained", zap.Duration("age", c.replica.Age(c.now())), zap.Stringer("position", res.position),
-				zap.Stringer("copy", c.replica.Position()), zap.Bool("listed", res.full))
-		}
-	}
-}
--- a/internal/edge/times.go
+++ b/internal/edge/times.go
@@ -25,6 +25,7 @@
 	change   tally.Histogram // from the request for a change until it is in force
 	age      tally.Histogram // of the replica, at each tick
 	lag      tally.Histogram // from a heartbeat that shows a missing change until the replica has it
+	read     tally.Histogram // successful reads of the store
 }
 
 func newTimes(m *metrics.Collector) *times {
@@ -36,6 +37,7 @@
 		change:   m.Histogram("change_seconds", timeBuckets),
 		age:      m.Histogram("copy_age_hist_seconds", timeBuckets),
 		lag:      m.Histogram("copy_lag_seconds", timeBuckets),
+		read:     m.Histogram("store_read_seconds", timeBuckets),
 	}
 }
 
