--- a/internal/hedge/client.go
+++ b/internal/hedge/client.go
@@ -58,10 +58,13 @@
 		return first.result()
 	}
 	c.Hedges.Add(1)
-	c.pooled.CloseIdleConnections()
+	c.CloseIdleConnections()
 	return firstOf(first, start(c.fresh, req))
 }
 
+// CloseIdleConnections closes the pooled connections that are not in use.
+func (c *Client) CloseIdleConnections() { c.pooled.CloseIdleConnections() }
+
 // start sends a request on its own goroutine.
 func start(c *http.Client, req *http.Request) *attempt {
 	ctx, trace := WithTrace(req.Context())
--- a/internal/standin/direct/store.go
+++ b/internal/standin/direct/store.go
@@ -57,6 +57,7 @@
 	calls       int
 	listCalls   int  // number of calls that list keys
 	refuseLists bool // whether calls that list keys are refused
+	pace        Pace
 	era         int64
 	changed     chan struct{} // closed and replaced at each change
 	srv         *http.Server
@@ -84,7 +85,7 @@
 	mux.HandleFunc("POST /kv-lease", s.grantLease)
 	mux.HandleFunc("POST /kv-keep/{id}", s.renewLease)
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.revokeLease)
-	s.srv = &http.Server{Handler: s.withFaults(mux), ReadHeaderTimeout: time.Second}
+	s.srv = &http.Server{Handler: s.withFaults(s.withPace(mux)), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.srv.Serve(ln) }() // returns after Close
 	return s, nil
 }
