edge: changes that do not arrive are not asked for again, the store is listed

Class: a read that fails is asked for again as it was.

A read that is late (0.15 s, if the replica is older than 1.3 s), refused, or whose answer ends early or cannot be decoded leads to a listing, in the same read; one that fails is gone on with by the next. A failed read's pause counts from its beginning. Refused listings are 1.6 s apart.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -82,6 +82,8 @@
 	ticks             int
 	storeLost         bool // the last read of the store failed
 	failedReads       failedReads
+	listings          replica.Listings
+	listing           *storeListing // to be continued by the next read, or nil
 }
 
 // peerState is the state of another balancer according to its heartbeats.
--- a/internal/edge/counts.go
+++ b/internal/edge/counts.go
@@ -14,6 +14,8 @@
 	readFailures, fetchFailures, leaseFailures   atomic.Uint64
 	readFailuresBy                               [platform.Unusable + 1]atomic.Uint64
 	readsTooLarge                                atomic.Uint64 // of changes of the store, which was listed instead
+	listingsLate                                 atomic.Uint64 // beside changes of the store that were late
+	listingsFailed                               atomic.Uint64 // after changes of the store that failed to arrive
 	changesTooLarge                              atomic.Uint64 // answers of peers
 	answersRefused                               atomic.Uint64 // to peers, as too much is being sent
 	fetchHedges                                  atomic.Uint64 // requests for changes beside one that is late
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -8,39 +8,42 @@
 	"go.uber.org/zap"
 
 	"rosedale.dev/rosedale/internal/replica"
-	"rosedale.dev/rosedale/internal/revision"
-	"rosedale.dev/rosedale/platform"
 )
 
-// readResult is the outcome of a read of the store.
-type readResult struct {
-	full      bool // a listing instead of changes
-	first     bool // there was no replica when it began
-	items     []replica.Item
-	position  revision.Revision
-	startedAt time.Duration // the result is at least as recent as this
-	listedFor error         // why the store was listed instead of its changes, or nil
-	err       error
-}
-
 // readIfDue reads the store if this balancer is a reader, or lists it if it needs its first
 // copy and may do so.
 func (c *control) readIfDue(ctx context.Context, now time.Duration) {
 	if c.reader.Busy() || now < c.readAt || c.leaving || !c.mayRead(now) {
 		return
 	}
-	first := !c.replica.Loaded()
 	c.reader.Started(now)
-	position := c.replica.Position()
-	if first {
+	r := c.newRead(now)
+	if r.first {
 		ctx = c.firstCopyCtx
 	}
 	go func() {
-		res := c.read(ctx, now, position, first)
+		res := r.run(ctx)
 		c.post(func() { c.handleRead(res) })
 	}()
 }
 
+// newRead returns the read of the store that is due now.
+func (c *control) newRead(now time.Duration) *storeRead {
+	if c.listing != nil && c.listing.At().Before(c.replica.Position()) {
+		c.listing = nil
+	}
+	return &storeRead{
+		store:     c.store,
+		now:       c.now,
+		startedAt: now,
+		first:     !c.replica.Loaded(),
+		position:  c.replica.Position(),
+		patience:  replica.ListBeside(c.replica.Age(now)),
+		mayList:   c.listings.May(now),
+		listing:   c.listing,
+	}
+}
+
 // mayRead reports whether this balancer should read the store, or list it for its first
 // copy.
 func (c *control) mayRead(now time.Duration) bool {
@@ -72,28 +75,6 @@
 	c.log.Info("first copy", zap.String("source", source), zap.Duration("after", now), zap.Stringer("position", c.replica.Position()), zap.Duration("age", c.replica.Age(now)))
 }
 
-// read requests changes from the store, or lists it for the first copy. It runs on its own
-// goroutine.
-func (c *control) read(ctx context.Context, now time.Duration, position revision.Revision, first bool) readResult {
-	res := readResult{startedAt: now, first: first}
-	if !first {
-		res.items, res.position, res.err = c.store.Watch(ctx, position, 0)
-		if !needsListing(res.err) {
-			return res
-		}
-		res.listedFor = res.err
-	}
-	res.full = true
-	res.items, res.position, res.err = c.store.List(ctx, "")
-	return res
-}
-
-// needsListing reports whether the changes that were requested cannot be had, so that only a
-// listing of the store helps.
-func needsListing(err error) bool {
-	return errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrNewEra) || errors.Is(err, platform.ErrTooLarge)
-}
-
 func (c *control) handleRead(res readResult) {
 	now := c.now()
 	if res.first && res.err != nil && c.replica.Loaded() {
@@ -103,23 +84,24 @@
 	if res.err == nil && res.position.Era < c.replica.Position().Era {
 		res.err = errors.Errorf("store: answer is of era %d, but the replica is of era %d", res.position.Era, c.replica.Position().Era)
 	}
-	c.readAt = max(res.startedAt, now-replica.ReadInterval) + c.reader.Done(res.err == nil)
+	c.listing = res.listing
+	if res.full {
+		c.listings.Done(res.startedAt, isRefused(res.err))
+	}
+	c.readAt = max(now, res.startedAt+c.reader.Done(res.err == nil))
 	c.noteRead(res)
 	if res.err != nil {
 		return
 	}
 	c.readDone = now
 	c.noteReadTime(res.startedAt)
-	if errors.Is(res.listedFor, platform.ErrTooLarge) {
-		c.edge.counts.readsTooLarge.Add(1)
-		c.log.Warn("changes of the store were too large and it was listed", zap.Stringer("position", res.position), zap.Error(res.listedFor))
-	}
+	c.noteListing(res)
 	if res.full {
 		c.noteOutdated(res)
-		c.applyCopy(res.items, res.position, res.startedAt, "store")
+		c.applyCopy(res.items, res.position, res.provenAt, "store")
 		return
 	}
-	c.applyChanges(c.replica.Apply(res.items, res.position, res.startedAt), "store", res.startedAt)
+	c.applyChanges(c.replica.Apply(res.items, res.position, res.provenAt), "store", res.startedAt)
 }
 
 // noteOutdated logs a listing that arrives too late to change anything.
--- a/internal/edge/readlog.go
+++ b/internal/edge/readlog.go
@@ -68,3 +68,19 @@
 func (c *control) noteReadTime(startedAt time.Duration) {
 	c.edge.times.read.RecordDuration(c.now() - startedAt)
 }
+
+// noteListing counts and logs a listing that was made because the changes did not arrive.
+func (c *control) noteListing(res readResult) {
+	n := &c.edge.counts
+	switch {
+	case res.listedFor == nil, errors.Is(res.listedFor, platform.ErrCompacted), errors.Is(res.listedFor, platform.ErrNewEra):
+		return
+	case errors.Is(res.listedFor, platform.ErrTooLarge):
+		n.readsTooLarge.Add(1)
+	case errors.Is(res.listedFor, errLate):
+		n.listingsLate.Add(1)
+	default:
+		n.listingsFailed.Add(1)
+	}
+	c.log.Warn("changes of the store did not arrive and it was listed", zap.Stringer("position", res.position), zap.String("reason", res.listedFor.Error()))
+}
--- /dev/null
+++ b/internal/replica/listing.go
@@ -0,0 +1,37 @@
+package replica
+
+import "time"
+
+const (
+	// changesPatience is how long changes of the store are waited for before the store may be
+	// listed beside. It answers in milliseconds, also over a new connection.
+	changesPatience = 150 * time.Millisecond
+	// listAge is the age of the replica up to which changes are waited for at least, so that
+	// the reader does not list a store that is slow but current enough.
+	listAge = takeoverAge
+)
+
+// ListBeside returns how long changes of the store are waited for before the store is listed
+// beside, given the age of the replica when they were asked for.
+//
+// Guards against changes that are too many to arrive in time: from the replica's position they
+// only grow, while a listing has the last of each key.
+func ListBeside(age time.Duration) time.Duration { return max(changesPatience, listAge-age) }
+
+// listInterval is the least time between two listings that the store refuses, after it has
+// refused changes. One that refuses all is then called at most twice in place of once.
+const listInterval = MaxReadInterval
+
+// Listings decides whether the store is to be listed if it refuses changes.
+type Listings struct {
+	refused   bool
+	refusedAt time.Duration
+}
+
+// Done records whether the store refused a listing by a read that began at a time.
+func (l *Listings) Done(startedAt time.Duration, refused bool) {
+	l.refused, l.refusedAt = refused, startedAt
+}
+
+// May reports whether a read that begins now may list the store.
+func (l *Listings) May(now time.Duration) bool { return !l.refused || now-l.refusedAt >= listInterval }
--- /dev/null
+++ b/internal/replica/listing_test.go
@@ -0,0 +1,43 @@
+package replica
+
+import (
+	"testing"
+	"time"
+)
+
+// Changes do not arrive. The store must be listed early enough for the bound on a replica's age,
+// and not as long as the replica is current enough.
+func TestListingBesideLateChanges(t *testing.T) {
+	for age, want := range map[time.Duration]time.Duration{
+		0:                             takeoverAge,
+		500 * time.Millisecond:        takeoverAge - 500*time.Millisecond,
+		takeoverAge:                   changesPatience,
+		MaxFollowAge:                  changesPatience,
+		MaxFollowAge + FetchPatience:  changesPatience,
+		takeoverAge - changesPatience: changesPatience,
+	} {
+		if got := ListBeside(age); got != want {
+			t.Errorf("age %v: listed after %v, want %v", age, got, want)
+		}
+	}
+}
+
+// The store refuses everything. It must not be listed after each refusal, as it is for changes that
+// are refused for their size.
+func TestRefusedListingsArePaced(t *testing.T) {
+	var l Listings
+	if !l.May(0) {
+		t.Error("not listed after the first refusal")
+	}
+	l.Done(0, true)
+	if l.May(listInterval - 1) {
+		t.Error("listed again too soon")
+	}
+	if !l.May(listInterval) {
+		t.Error("not listed any more")
+	}
+	l.Done(time.Second, false)
+	if !l.May(time.Second) {
+		t.Error("not listed although the last listing was not refused")
+	}
+}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -23,8 +23,10 @@
 	// readPatience is how long a read may take until the balancer counts as one that does
 	// not read, and asks its peers as well.
 	readPatience = 600 * time.Millisecond
+	// awaitPatience is added while a peer that was asked for changes may still answer.
+	awaitPatience = 100 * time.Millisecond
 	// MaxFollowAge is the age of the replica above which any balancer reads the store itself,
-	// whatever it hears. Requests to peers put that off for FetchPatience at most. Changes
+	// whatever it hears. Requests to peers put that off for awaitPatience at most. Changes
 	// have to be in force within 3 s.
 	MaxFollowAge = takeoverAge + lastDataCenterRank*dataCenterStep + lastRank*rankStep
 	// MaxReadInterval bounds the interval after failed reads.
@@ -107,7 +109,7 @@
 		p = LastPlace
 	}
 	if awaits {
-		return p.maxAge(false, false) + FetchPatience
+		return p.maxAge(false, false) + awaitPatience
 	}
 	return takeoverAge + time.Duration(min(p.DataCenterRank, lastDataCenterRank))*dataCenterStep + time.Duration(min(p.Rank, lastRank))*rankStep
 }
