edge: a slow answer of a peer is not ended, and no other one is asked for beside it

Behind a link over which an answer of a peer takes longer than a second, a balancer that the store turns away kept its old catalogue for good, and one that started did not serve.

Cause: a request for changes lasted 1 s at most, whole answer included, at both ends. The next one asked for the same; after 0.3 s for further copies beside, which shared the link.

A peer whose answer arrives is not taken for silent: no other peer, and no other source of a first copy, is asked beside it. The age of the replica leads to a read of the store as before, so that an answer that drips delays no change beyond the bound.

--- a/internal/edge/balancer_test.go
+++ b/internal/edge/balancer_test.go
@@ -73,6 +73,13 @@
 	ln.Deafen(on)
 }
 
+// slow limits the speed of a balancer's answers to each of its peers, in bytes per second.
+func (b *balancer) slow(bytesPerSecond int) {
+	ln := <-b.control
+	defer func() { b.control <- ln }()
+	ln.Slow(bytesPerSecond)
+}
+
 // shutdown stops a balancer as SIGTERM does, and waits for it.
 func (b *balancer) shutdown(t *testing.T) {
 	b.stop()
--- a/internal/edge/catchup.go
+++ b/internal/edge/catchup.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -69,15 +70,32 @@
 // catchUp asks a peer that has changes which this replica lacks, unless this balancer's own
 // read will bring them.
 func (c *control) catchUp(ctx context.Context, now time.Duration) {
-	if c.lag.For(now) > 0 && !c.reader.Succeeding(now) && c.fetches.MayBegin(now) {
+	if c.lag.For(now) > 0 && !c.reader.Succeeding(now) && c.mayFetch(now) {
 		c.fetchFromAny(ctx, now, c.sourcesAhead(now))
 	}
 }
 
+// mayFetch reports whether a request for changes may begin now.
+func (c *control) mayFetch(now time.Duration) bool {
+	for id, r := range c.underWay {
+		c.fetches.Progressed(id, time.Duration(r.progress.Load()))
+	}
+	return c.fetches.MayBegin(now)
+}
+
+// peerRequest is a request for changes under way.
+type peerRequest struct {
+	cancel   context.CancelFunc
+	progress atomic.Int64 // when a part of the answer arrived last, as time.Duration
+}
+
 // fetchFromAny asks one of the sources, given in order of preference, for changes, unless a
 // request under way may still be answered. If one has not been answered in time, the idle
 // connections are closed, as they may be as silent.
 func (c *control) fetchFromAny(ctx context.Context, now time.Duration, sources []source) {
+	if !c.mayFetch(now) {
+		return
+	}
 	late := c.fetches.OutOfPatience(now)
 	peers := make([]netip.AddrPort, len(sources))
 	for i, s := range sources {
@@ -97,9 +115,10 @@
 		after.Number = 0
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	c.cancelFetch[f.ID] = cancel
+	r := &peerRequest{cancel: cancel}
+	c.underWay[f.ID] = r
 	go func() {
-		ch, err := c.requestChanges(ctx, f.From, after)
+		ch, err := c.requestChanges(ctx, f.From, after, func() { r.progress.Store(int64(c.now())) })
 		c.post(func() { c.fetched(f, ch, err) })
 	}()
 }
@@ -108,8 +127,8 @@
 // other requests are cancelled; if the request failed, the next peer is asked at once.
 func (c *control) fetched(f replica.Fetch, ch *peer.Changes, err error) {
 	now := c.now()
-	c.cancelFetch[f.ID]()
-	delete(c.cancelFetch, f.ID)
+	c.underWay[f.ID].cancel()
+	delete(c.underWay, f.ID)
 	if errors.Is(err, context.Canceled) {
 		c.fetches.Ended(now, f, true)
 		return
@@ -123,8 +142,8 @@
 		return
 	}
 	if c.lag.For(now) == 0 {
-		for _, cancel := range c.cancelFetch {
-			cancel()
+		for _, r := range c.underWay {
+			r.cancel()
 		}
 	}
 }
--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -15,10 +15,12 @@
 	"rosedale.dev/rosedale/internal/hedge"
 	"rosedale.dev/rosedale/internal/peer"
 	"rosedale.dev/rosedale/internal/revision"
+	"rosedale.dev/rosedale/internal/stall"
 )
 
 const (
-	// fetchTimeout bounds a request for changes from another balancer.
+	// fetchTimeout bounds the time until another balancer begins to answer a request for
+	// changes, and the time without any byte of the answer.
 	fetchTimeout = time.Second
 	// dialTimeout bounds connecting to another balancer. A VM without power does not
 	// answer, and the kernel retransmits a lost SYN only after a second.
@@ -31,11 +33,17 @@
 	d := &net.Dialer{Timeout: dialTimeout}
 	t := &http.Transport{DialContext: d.DialContext, DisableCompression: true}
 	hedge.LimitIdle(t)
-	return &http.Client{Timeout: fetchTimeout, Transport: t}
+	return &http.Client{Transport: t}
 }
 
-func (c *control) requestChanges(ctx context.Context, from netip.AddrPort, after revision.Revision) (*peer.Changes, error) {
+// requestChanges requests the changes after a revision from another balancer. progressed is
+// called when parts of the answer arrive.
+func (c *control) requestChanges(ctx context.Context, from netip.AddrPort, after revision.Revision, progressed func()) (*peer.Changes, error) {
 	url := "http://" + from.String() + changesPath + "?after=" + strconv.FormatInt(after.Number, 10) + "&era=" + strconv.FormatInt(after.Era, 10)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(fetchTimeout, func() { cancel(errNoAnswer) })
+	defer timer.Stop()
 	ctx, trace := hedge.WithTrace(ctx)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -43,12 +51,14 @@
 	}
 	resp, err := c.fetch.Do(req)
 	if err != nil {
-		return nil, errors.Wrap(trace.Wrap(err), "changes")
+		return nil, errors.Wrap(trace.Wrap(fetchCause(ctx, err)), "changes")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxChanges+1))
+	body := stall.NewReader(resp.Body, timer, fetchTimeout, 0)
+	body.Progress = progressed
+	b, err := io.ReadAll(io.LimitReader(body, maxChanges+1))
 	if err != nil {
-		return nil, errors.Wrapf(trace.Wrap(err), "changes from %s", from)
+		return nil, errors.Wrapf(trace.Wrap(fetchCause(ctx, err)), "changes from %s: after %d bytes", from, len(b))
 	}
 	if len(b) > maxChanges {
 		return nil, errors.Wrapf(peer.ErrTooLarge, "changes from %s: more than %d bytes", from, maxChanges)
@@ -60,6 +70,17 @@
 	return ch, peer.Decode(b, ch)
 }
 
+// errNoAnswer ends a request of which nothing arrives for fetchTimeout.
+var errNoAnswer = errors.New("deadline exceeded")
+
+// fetchCause returns errNoAnswer if that ended a request, and err otherwise.
+func fetchCause(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), errNoAnswer) {
+		return errNoAnswer
+	}
+	return err
+}
+
 // noteTooLarge makes the next request ask for a full copy if an answer was too large.
 func (c *control) noteTooLarge(err error) {
 	if errors.Is(err, peer.ErrTooLarge) {
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -61,14 +61,15 @@
 	settling       replica.Settling
 	readDone       time.Duration // when the last successful read ended
 	fetches        replica.Fetches
-	cancelFetch    map[int]context.CancelFunc // of the requests under way, by replica.Fetch.ID
-	wantsCopy      bool                       // the last changes of a peer were too large
+	underWay       map[int]*peerRequest // by replica.Fetch.ID
+	wantsCopy      bool                 // the last changes of a peer were too large
 	lag            replica.Lag
 	lagLogged      bool          // the present lag has been logged
 	oldTurn        int           // selects the balancer to ask next while the replica is old
 	answerBytes    atomic.Int64  // size of the answers on their way to peers
 	copySlots      chan struct{} // has an element for each requested full copy being sent
 	firstCopy      *replica.FirstCopy
+	copyArrived    atomic.Int64  // when a part of a first copy arrived last, as time.Duration
 	sourcesWritten time.Duration // when this balancer last wrote the sources; see writeSourcesIfDue
 	version        int64         // of the catalogue in force
 	lease          lease
@@ -114,7 +115,7 @@
 		firstCopy: replica.NewFirstCopy(e.boot.Control, rand.Float64()),
 
 		unregistered: map[string]bool{},
-		cancelFetch:  map[int]context.CancelFunc{},
+		underWay:     map[int]*peerRequest{},
 	}
 	c.replica.LimitLog(logBytes(e.boot.MemoryMB))
 	c.stepBack.Start(c.now())
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -82,7 +82,7 @@
 	}
 	c.settleFromPeer(now, h)
 	c.noteAnnounced(now, h)
-	if c.isBehind(now, h, arrived) && !c.reader.Succeeding(now) && c.fetches.MayBegin(now) {
+	if c.isBehind(now, h, arrived) && !c.reader.Succeeding(now) && c.mayFetch(now) {
 		c.fetchFromAny(ctx, now, append([]source{sourceOf(h)}, c.sourcesAhead(now)...))
 	}
 	c.applyFindings(now, h)
--- a/internal/edge/servechanges.go
+++ b/internal/edge/servechanges.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"rosedale.dev/rosedale/internal/peer"
+	"rosedale.dev/rosedale/internal/stall"
 )
 
 const (
@@ -41,8 +42,7 @@
 //
 // Guards against a balancer that loses power while it receives a full copy. Its slot
 // would stay occupied for minutes, until the kernel ends the connection, and this source
-// would hand out no other copies. The client's timeout is fetchTimeout, so a longer write
-// is of no use.
+// would hand out no other copies. The client gives up after fetchTimeout without a byte.
 func (c *control) serve() error {
 	ln, err := c.edge.listen("tcp4", c.edge.boot.Control.String())
 	if err != nil {
@@ -173,7 +173,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if _, err := w.Write(b); err != nil {
+	if _, err := stall.NewWriter(w, fetchTimeout).Write(b); err != nil {
 		c.log.Warn("control: changes not delivered", zap.Error(err))
 	}
 }
--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -43,7 +43,7 @@
 			}
 			all.Go(func() {
 				for range 3 { // a connection that went silent before fails once
-					if _, err := b.edge.control.requestChanges(context.Background(), other.boot.Control, revision.Revision{Number: 1}); err == nil {
+					if _, err := b.edge.control.requestChanges(context.Background(), other.boot.Control, revision.Revision{Number: 1}, func() {}); err == nil {
 						return
 					}
 				}
--- a/internal/edge/sources.go
+++ b/internal/edge/sources.go
@@ -63,10 +63,19 @@
 	if c.replica.Loaded() || !c.firstCopy.HasSources() || ctx.Err() != nil {
 		return
 	}
-	c.askSource(ctx)
+	if !c.copyArrives() {
+		c.askSource(ctx)
+	}
 	time.AfterFunc(c.firstCopy.Pause(), func() { c.post(func() { c.askSources(ctx) }) })
 }
 
+// copyArrives reports whether parts of a copy are arriving. Another one beside it would share
+// the link.
+func (c *control) copyArrives() bool {
+	at := c.copyArrived.Load()
+	return at > 0 && c.now()-time.Duration(at) < c.firstCopy.Pause()
+}
+
 // askSource requests a copy from the next source, if any.
 func (c *control) askSource(ctx context.Context) {
 	from, ok := c.firstCopy.NextSource()
@@ -75,7 +84,7 @@
 	}
 	requestedAt := c.now()
 	go func() {
-		ch, err := c.requestChanges(ctx, from, revision.Revision{})
+		ch, err := c.requestChanges(ctx, from, revision.Revision{}, func() { c.copyArrived.Store(int64(c.now())) })
 		c.post(func() { c.handleSourceAnswer(ctx, ch, requestedAt, from, err) })
 	}()
 }
--- a/internal/replica/fetches.go
+++ b/internal/replica/fetches.go
@@ -8,8 +8,9 @@
 
 const (
 	// FetchPatience is how long a peer that was asked for changes is waited for before
-	// another one is asked beside it. Peers answer within milliseconds; the time also
-	// admits an answer that waits for others on a small VM or for a slot.
+	// another one is asked beside it, since it was asked or the last part of its answer
+	// arrived. Peers answer within milliseconds; the time also admits an answer that waits for
+	// others on a small VM or for a slot.
 	FetchPatience = 300 * time.Millisecond
 	// maxFetches bounds the requests that are under way at once.
 	maxFetches = 3
@@ -37,6 +38,7 @@
 	ID      int // unique in a Fetches
 	From    netip.AddrPort
 	Started time.Duration
+	active  time.Duration // when it began or a part of its answer arrived last
 }
 
 // Begin returns the request to make now, given the peers that have changes in order of
@@ -56,7 +58,7 @@
 		f.unanswered, f.asking = true, now
 	}
 	f.begun++
-	next := Fetch{ID: f.begun, From: best, Started: now}
+	next := Fetch{ID: f.begun, From: best, Started: now, active: now}
 	f.pending = append(f.pending, next)
 	return next, true
 }
@@ -72,11 +74,27 @@
 	return len(f.pending) > 0 && now-f.asking < FetchPatience
 }
 
-// OutOfPatience reports whether requests are under way and the newest has not been answered
-// in time. The connections that were open when it began are not to be trusted then.
+// Progressed records when a part of the answer to a request arrived last.
+//
+// Guards against answers over a slow link: further requests beside them would share it, so
+// that all take as much longer.
+func (f *Fetches) Progressed(id int, at time.Duration) {
+	for i := range f.pending {
+		if p := &f.pending[i]; p.ID == id {
+			p.active = max(p.active, at)
+		}
+	}
+}
+
+// OutOfPatience reports whether requests are under way and none of them has been answered in
+// time or is being answered. The connections that were open when they began are not to be
+// trusted then.
 func (f *Fetches) OutOfPatience(now time.Duration) bool {
-	n := len(f.pending)
-	return n > 0 && now-f.pending[n-1].Started >= FetchPatience
+	last := time.Duration(0)
+	for _, p := range f.pending {
+		last = max(last, p.active)
+	}
+	return len(f.pending) > 0 && now-last >= FetchPatience
 }
 
 // CaughtUp records that the replica lacks no known change any more, by whatever way.
--- a/internal/replica/fetches_test.go
+++ b/internal/replica/fetches_test.go
@@ -32,6 +32,25 @@
 	}
 }
 
+// An answer arrives over a slow link. No other peer must be asked beside, which would slow it down,
+// until it stops.
+func TestArrivingAnswerIsWaitedFor(t *testing.T) {
+	var f Fetches
+	peers := []netip.AddrPort{peerA, peerB}
+	r, _ := f.Begin(0, peers)
+	now := time.Duration(0)
+	for range 10 {
+		now += FetchPatience - 1
+		if f.MayBegin(now) {
+			t.Fatalf("another peer may be asked after %v while an answer arrives", now)
+		}
+		f.Progressed(r.ID, now)
+	}
+	if !f.MayBegin(now + FetchPatience) {
+		t.Error("no other peer may be asked after the answer has stopped")
+	}
+}
+
 func TestPeersThatFailedAreAskedLast(t *testing.T) {
 	var f Fetches
 	peers := []netip.AddrPort{peerA, peerB}
--- a/internal/standin/direct/listener.go
+++ b/internal/standin/direct/listener.go
@@ -3,16 +3,18 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // Listener accepts connections that can be silenced: they stay open, and all further data
-// on them is discarded in both directions.
+// on them is discarded in both directions. They can also be slowed.
 type Listener struct {
 	net.Listener
 
-	mu   sync.Mutex
-	deaf bool
-	open map[*listenedConn]bool
+	mu             sync.Mutex
+	deaf           bool
+	bytesPerSecond int // of each connection, 0: no limit
+	open           map[*listenedConn]bool
 }
 
 // listenedConn is an accepted connection.
@@ -69,6 +71,14 @@
 	}
 }
 
+// Slow limits what is written to each connection from now on, in bytes per second. 0 ends the
+// limit.
+func (l *Listener) Slow(bytesPerSecond int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bytesPerSecond = bytesPerSecond
+}
+
 // Close implements net.Listener. It also closes the silenced connections.
 func (l *Listener) Close() error {
 	l.mu.Lock()
@@ -102,7 +112,28 @@
 	if c.isSilenced() {
 		return len(b), nil
 	}
-	return c.Conn.Write(b)
+	c.l.mu.Lock()
+	speed := c.l.bytesPerSecond
+	c.l.mu.Unlock()
+	if speed == 0 {
+		return c.Conn.Write(b)
+	}
+	return c.writeSlowly(b, max(1, int(float64(speed)*paceStep.Seconds())))
+}
+
+// writeSlowly writes data in chunks that are paceStep apart.
+func (c *listenedConn) writeSlowly(b []byte, chunk int) (int, error) {
+	written := 0
+	for len(b) > 0 {
+		n, err := c.Conn.Write(b[:min(chunk, len(b))])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		b = b[n:]
+		time.Sleep(paceStep)
+	}
+	return written, nil
 }
 
 // Close implements net.Conn. A silenced connection stays open for the other end.
