edge: a full copy that is too large is not asked for again, the store is read

What would be seen: a state whose copy exceeds the limit of an answer (16 MiB packed, 32 MiB unpacked) would be fetched again and again, up to three at a time, from peers that all have the same.

Cause: ErrTooLarge asked for a copy whether or not the answer was one.

Once a copy was too large, no peer is asked until the store has been read, which pages; the age of the replica leads to that read.

TestCopyTooLargeIsNotAskedForAgain: 'a peer is asked again' without the check.

--- a/internal/edge/catchup.go
+++ b/internal/edge/catchup.go
@@ -93,7 +93,7 @@
 // request under way may still be answered. If one has not been answered in time, the idle
 // connections are closed, as they may be as silent.
 func (c *control) fetchFromAny(ctx context.Context, now time.Duration, sources []source) {
-	if !c.mayFetch(now) {
+	if c.copyTooLarge || !c.mayFetch(now) {
 		return
 	}
 	late := c.fetches.OutOfPatience(now)
--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -81,10 +81,12 @@
 	return err
 }
 
-// noteTooLarge makes the next request ask for a full copy if an answer was too large.
+// noteTooLarge makes the next request ask for a full copy if an answer was too large. If that
+// was a copy, no peer is asked until the store has been read: every copy is as large.
 func (c *control) noteTooLarge(err error) {
 	if errors.Is(err, peer.ErrTooLarge) {
 		c.edge.counts.changesTooLarge.Add(1)
+		c.copyTooLarge = c.wantsCopy || !c.replica.Loaded()
 		c.wantsCopy = true
 	}
 }
@@ -104,7 +106,7 @@
 		c.log.Error("changes could not be unpacked", zap.Stringer("peer", from), zap.Error(err))
 		return false
 	}
-	c.wantsCopy = false
+	c.wantsCopy, c.copyTooLarge = false, false
 	proven := requestedAt - ch.Age
 	if ch.Full {
 		c.applyCopy(items, ch.Revision(), proven, from.String())
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -63,6 +63,7 @@
 	fetches        replica.Fetches
 	underWay       map[int]*peerRequest // by replica.Fetch.ID
 	wantsCopy      bool                 // the last changes of a peer were too large
+	copyTooLarge   bool                 // so was a full copy
 	lag            replica.Lag
 	lagLogged      bool          // the present lag has been logged
 	oldTurn        int           // selects the balancer to ask next while the replica is old
--- a/internal/edge/large_test.go
+++ b/internal/edge/large_test.go
@@ -64,6 +64,28 @@
 	}
 }
 
+// A full copy exceeds the limit of an answer, and so do those of all peers. They must not be asked
+// for it again and again, but the store.
+func TestCopyTooLargeIsNotAskedForAgain(t *testing.T) {
+	c := newTestControl(t)
+	c.replica.Replace(nil, at(30), 0)
+	c.edge.packets = &packets{edge: c.edge, loaded: make(chan struct{})}
+	c.edge.times = newTimes(metrics.New())
+	c.fetch, c.underWay, c.events = newFetchClient(), map[int]*peerRequest{}, make(chan func(), eventQueue)
+	from := netip.MustParseAddrPort("127.0.0.1:1")
+	for range 2 { // the changes, then the copy
+		c.handleFetched(nil, 0, from, errors.Wrap(peer.ErrTooLarge, "changes"))
+	}
+	c.fetchFromAny(t.Context(), 0, []source{{addr: from}})
+	if _, asked := c.fetches.Oldest(); asked {
+		t.Error("a peer is asked again")
+	}
+	c.handleRead(readResult{position: at(31)})
+	if c.copyTooLarge || c.wantsCopy {
+		t.Error("no peer is asked after the store was read")
+	}
+}
+
 // Peers read their answers slowly. Beyond a share of the memory further ones must be refused.
 func TestAnswersOnTheirWayAreBounded(t *testing.T) {
 	c := newTestControl(t)
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -94,6 +94,7 @@
 		return
 	}
 	c.readDone = now
+	c.wantsCopy, c.copyTooLarge = false, false
 	c.noteReadTime(res.startedAt)
 	c.noteListing(res)
 	if res.full {
--- a/internal/edge/sources.go
+++ b/internal/edge/sources.go
@@ -63,7 +63,7 @@
 	if c.replica.Loaded() || !c.firstCopy.HasSources() || ctx.Err() != nil {
 		return
 	}
-	if !c.copyArrives() {
+	if !c.copyTooLarge && !c.copyArrives() {
 		c.askSource(ctx)
 	}
 	time.AfterFunc(c.firstCopy.Pause(), func() { c.post(func() { c.askSources(ctx) }) })
