rosedaled: slow listings and messages are not ended while they make progress

What would be seen: behind a slow link a catalogue never arrives, neither from the store nor from a peer; the last versions stay in force. Shown by a test, not by a run of the daemon.

A listing of a shard had 5 s as a whole (26 s with the wait of a query), a message between balancers 5 s, and both were asked for again as they were. Messages of a pull share the link.

The limits are on the time without progress, by internal/stall. A listing beyond 64 MiB has an error of its own that names the limit, instead of that of cut JSON.

TestSlowListingArrives (four parts 1.7 s apart): 'context deadline exceeded' before, passes now. TestSlowStreamIsRead for the streams.

--- a/internal/edge/servechanges.go
+++ b/internal/edge/servechanges.go
@@ -173,7 +173,8 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if _, err := stall.NewWriter(w, fetchTimeout).Write(b); err != nil {
+	out := stall.NewWriter(w, http.NewResponseController(w).SetWriteDeadline, fetchTimeout)
+	if _, err := out.Write(b); err != nil {
 		c.log.Warn("control: changes not delivered", zap.Error(err))
 	}
 }
--- a/internal/link/connection.go
+++ b/internal/link/connection.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 
+	"rosedale.dev/rosedale/internal/stall"
 	"rosedale.dev/rosedale/internal/wire"
 )
 
@@ -47,10 +48,7 @@
 	if err != nil {
 		return errors.Wrap(err, "link: open stream")
 	}
-	if d, ok := ctx.Deadline(); ok {
-		_ = s.SetWriteDeadline(d)
-	}
-	if _, err := s.Write(b); err != nil {
+	if _, err := stall.NewWriter(s, s.SetWriteDeadline, sendTimeout).Write(b); err != nil {
 		return errors.Wrap(err, "link: write")
 	}
 	return errors.Wrap(s.Close(), "link: close stream")
@@ -78,8 +76,7 @@
 			return
 		}
 		go func() {
-			_ = s.SetReadDeadline(time.Now().Add(sendTimeout))
-			b, err := io.ReadAll(io.LimitReader(s, wire.MaxSize))
+			b, err := io.ReadAll(io.LimitReader(stall.NewDeadlineReader(s, s.SetReadDeadline, sendTimeout), wire.MaxSize))
 			if err == nil {
 				deliver(b)
 			}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -22,7 +22,7 @@
 const (
 	idleTimeout = 45 * time.Second // after which a connection without packets is closed
 	dialTimeout = 2 * time.Second
-	sendTimeout = 5 * time.Second // for sending or receiving a message on a stream
+	sendTimeout = 5 * time.Second // without progress of a message on a stream
 	// maxDatagram is the maximum size in bytes of a message sent as a datagram. It fits
 	// one QUIC packet on any path that carries the packets of the fabric.
 	maxDatagram = 1000
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"testing"
 	"time"
 )
@@ -61,12 +63,28 @@
 	}
 }
 
+// A stream sends slowly, and stops. It must be read until it stops.
+func TestSlowStreamIsRead(t *testing.T) {
+	from, to := net.Pipe()
+	defer func() { _ = from.Close() }()
+	go func() {
+		for range 12 {
+			time.Sleep(testStall / 4)
+			_, _ = from.Write([]byte("x"))
+		}
+	}()
+	b, err := io.ReadAll(NewDeadlineReader(to, to.SetReadDeadline, testStall))
+	if len(b) != 12 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%d bytes, %v", len(b), err)
+	}
+}
+
 // A receiver reads slowly, and another one not at all. Only the latter's response must fail.
 func TestOnlyStoppedReceiverFails(t *testing.T) {
 	const size = 16 << 20 // more than the buffers of a connection hold
 	failed := make(chan error, 2)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, err := NewWriter(w, testStall).Write(make([]byte, size))
+		_, err := NewWriter(w, http.NewResponseController(w).SetWriteDeadline, testStall).Write(make([]byte, size))
 		failed <- err
 	}))
 	defer s.Close()
--- a/internal/store/consul.go
+++ b/internal/store/consul.go
@@ -15,13 +15,15 @@
 	"github.com/pkg/errors"
 
 	"rosedale.dev/rosedale/internal/sockopt"
+	"rosedale.dev/rosedale/internal/stall"
 )
 
 const (
 	// WatchTime is the longest wait of a blocking query. It bounds the delay of a change by a
 	// store that holds a query without an answer.
 	WatchTime = 20 * time.Second
-	// callTimeout bounds a call, apart from the wait of a blocking query.
+	// callTimeout bounds the time until a response begins, apart from the wait of a blocking
+	// query, and the time without any byte of it.
 	callTimeout = 5 * time.Second
 	// probeInterval and probeCount are those of TCP keep-alive probes, which begin after the
 	// same pause. silentTimeout bounds the time for which sent data is not acknowledged. Both
@@ -34,6 +36,12 @@
 	maxBody = 64 << 20
 )
 
+// errNoResponse ends a call of which nothing arrives for callTimeout.
+var errNoResponse = errors.New("deadline exceeded")
+
+// ErrTooLarge means that a listing exceeds maxBody.
+var ErrTooLarge = errors.Errorf("response is larger than %d bytes", maxBody)
+
 // Consul implements Store with Consul's HTTP API (KV store and blocking queries).
 type Consul struct {
 	base   string
@@ -113,8 +121,10 @@
 	if q.Has("index") {
 		timeout += WatchTime + WatchTime/16 // the store adds jitter to the wait
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(timeout, func() { cancel(errNoResponse) })
+	defer timer.Stop()
 	resp, err := c.call(ctx, http.MethodGet, key, q, nil)
 	if err != nil {
 		return Listing{}, err
@@ -130,8 +140,14 @@
 	if index == 0 {
 		return Listing{}, errors.Errorf("store: read %s at %s: response without an index", key, c.base)
 	}
+	// Guards against a listing that takes longer than callTimeout over a slow link: it would be
+	// asked for again as it was, and never arrive.
+	body := &io.LimitedReader{R: stall.NewReader(resp.Body, timer, callTimeout, 0), N: maxBody + 1}
 	var ps []consulPair
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(&ps); err != nil {
+	if err := json.NewDecoder(body).Decode(&ps); err != nil {
+		if body.N <= 0 {
+			err = ErrTooLarge
+		}
 		return Listing{}, errors.Wrapf(err, "store: read %s at %s", key, c.base)
 	}
 	l := Listing{Index: index}
--- /dev/null
+++ b/internal/store/slow_test.go
@@ -0,0 +1,30 @@
+package store_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"rosedale.dev/rosedale/internal/store"
+)
+
+// A listing takes longer over a slow link than a call may wait for an answer. It must arrive, as the
+// same listing would be asked for again and again.
+func TestSlowListingArrives(t *testing.T) {
+	t.Parallel()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Consul-Index", "7")
+		for _, part := range []string{`[{"Key":`, `"p/a","Value"`, `:"eA==","Modify`, `Index":7}]`} {
+			_, _ = w.Write([]byte(part))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(1700 * time.Millisecond)
+		}
+	}))
+	defer s.Close()
+	l, err := store.NewConsul(s.URL, "").List(context.Background(), "p/", 0)
+	if err != nil || len(l.Pairs) != 1 || string(l.Pairs[0].Value) != "x" {
+		t.Errorf("listing %+v, %v", l, err)
+	}
+}
