rosedaled: a listing that does not arrive whole is read key by key

Shown by a test, not by a run of the daemon.

Consul's listings have no pages.

A listing whose response began as it should and did not arrive is replaced by the names of its keys, which are short, and a read of each value. The index is that of the names, so that the next query returns what changed since.

TestListingThatEndsEarlyIsReadByKey: 'unexpected EOF' before, passes now.

--- a/internal/store/consul.go
+++ b/internal/store/consul.go
@@ -113,10 +113,33 @@
 		q.Set("index", strconv.FormatUint(after, 10))
 		q.Set("wait", jitteredWatchTime().String())
 	}
-	return c.list(ctx, prefix, q)
+	l, err := c.list(ctx, prefix, q)
+	var cut *bodyError
+	if errors.As(err, &cut) {
+		return c.listByKey(ctx, prefix)
+	}
+	return l, err
 }
 
+// list returns the pair of a key, or with recurse those below it.
 func (c *Consul) list(ctx context.Context, key string, q url.Values) (Listing, error) {
+	var ps []consulPair
+	index, err := c.read(ctx, key, q, &ps)
+	l := Listing{Index: index}
+	for _, p := range ps {
+		l.Pairs = append(l.Pairs, Pair{Key: p.Key, Value: p.Value, Index: p.ModifyIndex, Created: p.CreateIndex})
+	}
+	return l, err
+}
+
+// bodyError is the failure of a response that began as it should.
+type bodyError struct{ error }
+
+// Unwrap returns the cause.
+func (e *bodyError) Unwrap() error { return e.error }
+
+// read decodes the response to a read, unless there is no such key, and returns its index.
+func (c *Consul) read(ctx context.Context, key string, q url.Values, into any) (uint64, error) {
 	timeout := callTimeout
 	if q.Has("index") {
 		timeout += WatchTime + WatchTime/16 // the store adds jitter to the wait
@@ -127,34 +150,29 @@
 	defer timer.Stop()
 	resp, err := c.call(ctx, http.MethodGet, key, q, nil)
 	if err != nil {
-		return Listing{}, err
+		return 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	index, _ := strconv.ParseUint(resp.Header.Get("X-Consul-Index"), 10, 64)
 	if resp.StatusCode == http.StatusNotFound && index > 0 {
-		return Listing{Index: index}, nil
+		return index, nil
 	}
 	if resp.StatusCode != http.StatusOK {
-		return Listing{}, errors.Errorf("store: read %s at %s: %s", key, c.base, resp.Status)
+		return 0, errors.Errorf("store: read %s at %s: %s", key, c.base, resp.Status)
 	}
 	if index == 0 {
-		return Listing{}, errors.Errorf("store: read %s at %s: response without an index", key, c.base)
+		return 0, errors.Errorf("store: read %s at %s: response without an index", key, c.base)
 	}
 	// Guards against a listing that takes longer than callTimeout over a slow link: it would be
 	// asked for again as it was, and never arrive.
 	body := &io.LimitedReader{R: stall.NewReader(resp.Body, timer, callTimeout, 0), N: maxBody + 1}
-	var ps []consulPair
-	if err := json.NewDecoder(body).Decode(&ps); err != nil {
+	if err := json.NewDecoder(body).Decode(into); err != nil {
 		if body.N <= 0 {
 			err = ErrTooLarge
 		}
-		return Listing{}, errors.Wrapf(err, "store: read %s at %s", key, c.base)
-	}
-	l := Listing{Index: index}
-	for _, p := range ps {
-		l.Pairs = append(l.Pairs, Pair{Key: p.Key, Value: p.Value, Index: p.ModifyIndex, Created: p.CreateIndex})
+		return 0, errors.Wrapf(&bodyError{err}, "store: read %s at %s", key, c.base)
 	}
-	return l, nil
+	return index, nil
 }
 
 // Swap implements Store.
--- a/internal/store/slow_test.go
+++ b/internal/store/slow_test.go
@@ -28,3 +28,30 @@
 		t.Errorf("listing %+v, %v", l, err)
 	}
 }
+
+// The connection ends in the middle of each listing. The keys must be read one by one instead of
+// listed again and again.
+func TestListingThatEndsEarlyIsReadByKey(t *testing.T) {
+	t.Parallel()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Consul-Index", "7")
+		q := r.URL.Query()
+		switch {
+		case q.Has("recurse"):
+			_, _ = w.Write([]byte(`[{"Key":"p/a","Value":`))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		case q.Has("keys"):
+			_, _ = w.Write([]byte(`["p/a","p/b"]`))
+		case r.URL.Path == "/v1/kv/p/a":
+			_, _ = w.Write([]byte(`[{"Key":"p/a","Value":"eA==","ModifyIndex":6}]`))
+		default: // removed in the meantime
+			w.WriteHeader(http.StatusNotFound)
+		}
+	}))
+	defer s.Close()
+	l, err := store.NewConsul(s.URL, "").List(context.Background(), "p/", 3)
+	if err != nil || l.Index != 7 || len(l.Pairs) != 1 || l.Pairs[0].Key != "p/a" || l.Pairs[0].Index != 6 {
+		t.Errorf("listing %+v, %v", l, err)
+	}
+}
