soak: storms of a large catalogue while the store does not deliver what has become large

Each last version has to be in force within 3 s at the undisturbed balancers, and callers' requests are checked as in the other soaks.

--- a/test/soak/silence_test.go
+++ b/test/soak/silence_test.go
@@ -84,11 +84,18 @@
 // change writes a version, or several in quick succession, and checks the last one later.
 func (s *series) change(r *rand.Rand) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	for range 1 + r.IntN(3) {
 		s.extra = r.IntN(2) == 0
 		s.changeCatalogue()
 	}
+	s.mu.Unlock()
+	s.checkLater()
+}
+
+// checkLater checks the present version after applyTime.
+func (s *series) checkLater() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	version := s.version
 	s.checks.Go(func() {
 		time.Sleep(applyTime)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -42,8 +42,9 @@
 	targets []*tracked
 	// known is a copy of targets. Callers read it without mu, which faults hold for seconds.
 	known   atomic.Pointer[[]*tracked]
-	version int  // of the desired state
-	extra   bool // the extra route is in the desired state
+	version int            // of the desired state
+	extra   bool           // the extra route is in the desired state
+	idle    []direct.Route // further routes, without traffic
 	// evacuated is set while data centre b is evacuated.
 	evacuated   bool
 	faultCounts map[string]int
@@ -288,7 +289,7 @@
 		r := &routes[i]
 		r.Service, r.Goal, r.Timeout = serviceOf[r.Address], goal, timeout
 	}
-	w.store.PutCatalogue(w.version, routes...)
+	w.store.PutCatalogue(w.version, append(routes, w.idle...)...)
 }
 
 // setEvacuated evacuates data centre b or takes it back.
