--- a/internal/replica/stalesimulation_test.go
+++ b/internal/replica/stalesimulation_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"testing"
 	"time"
 
 	"rosedale.dev/rosedale/internal/revision"
@@ -41,17 +39,6 @@
 	changes delivery
 }
 
-// delivery is what becomes of changes that the store is asked for.
-type delivery int
-
-// Deliveries: they arrive, do not arrive before the request times out, end early, or are refused.
-const (
-	arrive delivery = iota
-	tooLate
-	endEarly
-	refused
-)
-
 // follower is a simulated balancer.
 type follower struct {
 	id       int
@@ -148,68 +135,6 @@
 	return false
 }
 
-// read reads the store: again over a new connection if the pooled one is silent, and by a
-// listing if the changes do not arrive.
-func (w *staleSimulation) read(f *follower) {
-	began := w.now
-	f.reader.Started(began)
-	silent := f.store.use(w.now)
-	took, ok, listed := w.answer(f, silent)
-	if listed {
-		f.listings.Done(began, false)
-	}
-	w.after(took, func() {
-		f.store.silent = f.store.silent && !ok
-		f.store.usedAt = w.now
-		f.nextRead = max(w.now, began+f.reader.Done(ok))
-		if !ok {
-			return
-		}
-		if listed {
-			f.replica.Replace(w.changesSince(int64(len(w.written))-1), w.position(), began)
-		} else {
-			f.replica.Apply(w.changesSince(f.replica.Position().Number), w.position(), began)
-		}
-		f.lag.Reached(w.now, f.replica.Position())
-	})
-}
-
-// answer returns how long a read takes, whether it succeeds and whether it is a listing.
-func (w *staleSimulation) answer(f *follower, silent bool) (took time.Duration, ok, listed bool) {
-	first := simAnswer
-	if silent {
-		first += simReadHedge
-	}
-	late := ListBeside(f.replica.Age(w.now))
-	changes := w.changes
-	if f.replica.Position() == w.position() {
-		changes = arrive // there are none
-	}
-	switch {
-	case f.cut:
-		return simReadTimeout, false, true
-	case changes == tooLate, first > late:
-		return late + simAnswer, true, true
-	case changes == arrive:
-		return first, true, false
-	case changes == refused && !f.listings.May(w.now):
-		return first, false, false
-	}
-	return first + simAnswer, true, true
-}
-
-func (w *staleSimulation) position() revision.Revision {
-	return revision.Revision{Number: int64(len(w.written))}
-}
-
-func (w *staleSimulation) changesSince(after int64) []Item {
-	var out []Item
-	for n := after + 1; n <= int64(len(w.written)); n++ {
-		out = append(out, put("catalogue", fmt.Sprint(n), n))
-	}
-	return out
-}
-
 func (w *staleSimulation) hear(f, from *follower, h heartbeat) {
 	f.heard[from.id] = h
 	at := revision.Revision{Number: h.at}
@@ -278,84 +203,3 @@
 		p.silent = false
 	}
 }
-
-// silence makes a share of all connections go silent.
-func (w *staleSimulation) silence(share float64) {
-	for _, f := range w.fleet {
-		f.store.silent = f.store.silent || w.rng.Float64() < share
-		for j := range w.fleet {
-			p := f.peers[j]
-			p.silent = p.silent || w.rng.Float64() < share
-		}
-	}
-}
-
-// disturb makes a balancer deaf or cuts it off from the store for a while, if no other one is.
-func (w *staleSimulation) disturb() {
-	for _, f := range w.fleet {
-		if f.deaf || f.cut {
-			return
-		}
-	}
-	f := w.fleet[w.rng.IntN(min(len(w.fleet), 4))]
-	f.deaf = w.rng.IntN(2) == 0
-	f.cut = !f.deaf
-	w.after(time.Duration(w.rng.Int64N(int64(6*time.Second))), func() {
-		if f.cut {
-			f.cutEnded = w.now
-		}
-		f.deaf, f.cut = false, false
-	})
-}
-
-// lacked returns for how long a balancer has lacked a change.
-func (w *staleSimulation) lacked(f *follower) time.Duration {
-	n := f.replica.Position().Number
-	if n == int64(len(w.written)) {
-		return 0
-	}
-	return w.now - w.written[n]
-}
-
-// isCut reports whether a balancer cannot reach the store, or could not a short time ago.
-func (f *follower) isCut(now time.Duration) bool {
-	return f.cut || f.cutEnded > 0 && now-f.cutEnded < simStable
-}
-
-// Connections go silent at any moment, a balancer answers no peer or cannot reach the store,
-// heartbeats are lost, and changes of the store do not arrive, while changes come in series. No order of peers, connections and roles may
-// keep a balancer from a change for longer than the stated bound.
-func TestNoOrderOfFailuresExceedsTheBound(t *testing.T) {
-	if simBound+simTick > 3*time.Second {
-		t.Fatalf("the bound is %v, and a change has to be decoded within 3 s", simBound)
-	}
-	bounds := map[bool]time.Duration{false: simBound, true: simCutBound} // by whether a balancer is cut off
-	longest := map[bool]time.Duration{}
-	for seed := range uint64(300) {
-		w := newStaleSimulation([]int{2, 3, 7, 16}[seed%4], seed)
-		w.run(3 * time.Second)
-		for end := w.now + 40*time.Second; w.now < end; {
-			w.run(w.now + time.Duration(w.rng.Int64N(int64(300*time.Millisecond))))
-			w.now += time.Millisecond
-			switch w.rng.IntN(6) {
-			case 0, 1:
-				w.written = append(w.written, w.now)
-			case 2:
-				w.silence([]float64{0.5, 1}[w.rng.IntN(2)])
-			case 3:
-				w.disturb()
-			case 4:
-				w.changes = delivery(w.rng.IntN(4))
-			}
-			for _, f := range w.fleet {
-				lacked, cut := w.lacked(f), f.isCut(w.now)
-				longest[cut] = max(longest[cut], lacked)
-				if bound := bounds[cut]; lacked > bound {
-					t.Fatalf("seed %d: at %v balancer %d of %d (deaf %v, cut off %v) has lacked a change for %v, want at most %v",
-						seed, w.now, f.id, len(w.fleet), f.deaf, cut, lacked, bound)
-				}
-			}
-		}
-	}
-	t.Logf("the longest time without a change was %v, and %v without the store; the bounds are %v and %v", longest[false], longest[true], simBound, simCutBound)
-}
