edge: a listing may outlast the read that began it

What would be seen: a store that needs longer than 1.2 s for the first page of a listing is listed anew again and again, with the same limit; no change comes into force.

Cause: limits doubled within one Listing, which was only kept once something of it had arrived. Keeping it always would let a read wait for seconds for a call that began while the store was away.

A listing is a job of its own. A read waits for it as long as something arrives, and 1.2 s after; then the next read begins, and takes the result when it is there. Good changes abandon it, as does a replica that has moved on by other ways.

TestListingUnderWayDelaysNoChange: a version is in force in time after 14 s of a silent store, when listings wait for up to 9.6 s.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -85,7 +85,7 @@
 	storeLost         bool // the last read of the store failed
 	failedReads       failedReads
 	listings          replica.Listings
-	listing           *storeListing // to be continued by the next read, or nil
+	listing           listingJob // used by the read under way
 }
 
 // peerState is the state of another balancer according to its heartbeats.
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -29,9 +29,7 @@
 
 // newRead returns the read of the store that is due now.
 func (c *control) newRead(now time.Duration) *storeRead {
-	if c.listing != nil && c.listing.At().Before(c.replica.Position()) {
-		c.listing = nil
-	}
+	c.listing.dropOutdated(c.replica.Position())
 	return &storeRead{
 		store:     c.store,
 		now:       c.now,
@@ -40,7 +38,15 @@
 		position:  c.replica.Position(),
 		patience:  replica.ListBeside(c.replica.Age(now)),
 		mayList:   c.listings.May(now),
-		listing:   c.listing,
+		listing:   &c.listing,
+		listed:    func() { c.post(c.readIfListed) },
+	}
+}
+
+// readIfListed makes the next read due if a listing has ended that no read waits for.
+func (c *control) readIfListed() {
+	if !c.reader.Busy() && c.listing.done != nil {
+		c.readAt = c.now()
 	}
 }
 
@@ -84,7 +90,6 @@
 	if res.err == nil && res.position.Era < c.replica.Position().Era {
 		res.err = errors.Errorf("store: answer is of era %d, but the replica is of era %d", res.position.Era, c.replica.Position().Era)
 	}
-	c.listing = res.listing
 	if res.full {
 		c.listings.Done(res.startedAt, isRefused(res.err))
 	}
