edge: a store that cannot be connected to is not listed, and slow changes are not given up twice

A listing was begun beside changes that had no connection. It would have had none either; all balancers would have waited with one for a store that comes back.

Changes whose response had begun were given up for a listing each time. If listings are refused, changes that take longer than the patience never arrived: TestSlowChangesArriveWithoutListings, 'not within 10s' before. They are given up for a new listing only, not for one that has failed.

--- a/internal/edge/listingjob.go
+++ b/internal/edge/listingjob.go
@@ -48,6 +48,9 @@
 	}()
 }
 
+// isNew reports whether no attempt has failed or is under way.
+func (j *listingJob) isNew() bool { return j.Listing == nil }
+
 // ended records that a read received the result of the present attempt. The next read goes on
 // where it failed.
 func (j *listingJob) ended(r *storeRead, err error) {
--- a/internal/edge/storeread.go
+++ b/internal/edge/storeread.go
@@ -13,6 +13,11 @@
 	"rosedale.dev/rosedale/platform"
 )
 
+// connectInterval is the interval at which late changes without a connection are looked at again.
+// A store that cannot be connected to cannot be listed either, and is not to be by all balancers
+// when it is back.
+const connectInterval = 50 * time.Millisecond
+
 // errLate is the reason of a listing beside changes that do not arrive in time.
 var errLate = errors.New("changes are late")
 
@@ -40,7 +45,7 @@
 	first     bool // there is no replica
 	position  revision.Revision
 	patience  time.Duration // before the store is listed beside the request for changes
-	mayList   bool          // if the store refuses changes
+	mayList   bool          // if the store refuses changes or does not answer
 	listing   *listingJob   // may be under way
 	listed    func()        // is called when an attempt to list the store has ended
 }
@@ -65,15 +70,15 @@
 				return res
 			}
 			changes.done, failed = nil, res
-			if r.mayList || needsListing(res.err) {
+			if r.mayList && isRefused(res.err) || needsListing(res.err) {
 				r.listing.attempt(ctx, r, res.err)
 			}
 		case <-late.C:
-			if changes.begun.Load() {
-				changes.cancel() // they would slow the listing down
+			late.Reset(connectInterval)
+			if changes.connected.Load() {
+				late.Stop()
+				r.listBeside(ctx, changes)
 			}
-			r.store.CloseIdle()
-			r.listing.attempt(ctx, r, errLate)
 		case res := <-r.listing.done:
 			r.listing.ended(r, res.err)
 			if res.err == nil {
@@ -88,17 +93,30 @@
 	}
 }
 
+// listBeside lists the store over a new connection, while changes may still arrive.
+func (r *storeRead) listBeside(ctx context.Context, changes *changesRequest) {
+	if changes.begun.Load() && r.listing.isNew() {
+		changes.cancel() // they would slow the listing down
+	}
+	r.store.CloseIdle()
+	r.listing.attempt(ctx, r, errLate)
+}
+
 // changesRequest is a request for changes under way.
 type changesRequest struct {
-	cancel context.CancelFunc
-	begun  atomic.Bool     // a response has begun
-	done   chan readResult // nil once the result was received
+	cancel    context.CancelFunc
+	connected atomic.Bool     // the request has a connection
+	begun     atomic.Bool     // a response has begun
+	done      chan readResult // nil once the result was received
 }
 
 func (r *storeRead) requestChanges(ctx context.Context) *changesRequest {
 	ctx, cancel := context.WithCancel(ctx)
 	req := &changesRequest{cancel: cancel, done: make(chan readResult, 1)}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { req.begun.Store(true) }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:              func(httptrace.GotConnInfo) { req.connected.Store(true) },
+		GotFirstResponseByte: func() { req.begun.Store(true) },
+	})
 	res := readResult{startedAt: r.startedAt, provenAt: r.startedAt}
 	done := req.done
 	go func() {
@@ -121,8 +139,8 @@
 	return failed.Failure == platform.TooLarge || failed.Failure == platform.Interrupted || failed.Failure == platform.Unusable
 }
 
-// isRefused reports whether the store has refused a call, or a connection.
+// isRefused reports whether the store has refused a call, or has not answered it.
 func isRefused(err error) bool {
 	var failed *platform.CallError
-	return errors.As(err, &failed) && (failed.Failure == platform.Refused || failed.Failure == platform.Unconnected)
+	return errors.As(err, &failed) && (failed.Failure == platform.Refused || failed.Failure == platform.Unanswered)
 }
--- a/internal/edge/unreadable_test.go
+++ b/internal/edge/unreadable_test.go
@@ -83,3 +83,16 @@
 		t.Errorf("a version was in force after %v, want at most %v", got, changeBound)
 	}
 }
+
+// Changes arrive slowly while the store refuses listings. They must not be given up for a listing
+// again and again.
+func TestSlowChangesArriveWithoutListings(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 2)
+	d.store.RefuseListings(true)
+	d.store.SetPace(direct.Pace{BytesPerSecond: 130_000}) // 1.5 s for a version
+	d.store.Put(platform.CatalogueKey, largeState(10, stormSize))
+	for _, b := range d.balancers {
+		d.eventually(10*time.Second, fmt.Sprintf("%s has the version", b.boot.VM), func() bool { return b.adminStatus(t).Version == 10 })
+	}
+}
--- a/internal/hedge/connection.go
+++ b/internal/hedge/connection.go
@@ -12,16 +12,20 @@
 
 // Connection describes the connection of a request.
 type Connection struct {
+	Made   bool          // there was one
 	Reused bool          // it had carried a request before
 	Idle   time.Duration // for how long it had carried none
 }
 
 // String returns the kind of connection as shown in logs.
 func (c Connection) String() string {
-	if c.Reused {
+	switch {
+	case c.Reused:
 		return fmt.Sprintf("connection reused after %v", c.Idle.Round(time.Millisecond))
+	case c.Made:
+		return "new connection"
 	}
-	return "new connection"
+	return "no connection"
 }
 
 // Error is the failure of a request together with its connection.
@@ -51,7 +55,7 @@
 func (t *Trace) got(i httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.conn = Connection{Reused: i.Reused, Idle: i.IdleTime}
+	t.conn = Connection{Made: true, Reused: i.Reused, Idle: i.IdleTime}
 }
 
 // Connection returns the connection of the request so far.
