rosedaled: a shard whose listing is refused or not answered is read key by key

What callers saw: nothing yet. A store that refuses large listings with 503, or needs longer than 5 s to begin one, kept a reader of rosedaled at its first or last versions of that shard for as long as it did so, while it served each single key.

Cause: only a response that began was followed by reads of single keys. A refused or late one was asked for again as it was.

Every read that fails over a connection is now followed by them, unless the store says that the request is at fault (4xx). A store that is away for all costs one more short call for each attempt; one that cannot be connected to costs none.

TestListingWithoutResponseIsReadByKey: before, '503 Service Unavailable' and 'deadline exceeded'; passes now.

--- a/internal/store/bykey.go
+++ b/internal/store/bykey.go
@@ -10,8 +10,8 @@
 // listByKey reads the names of the keys below a prefix, and then each value by itself. The
 // listing's index is that of the names; values may be newer.
 //
-// Guards against a listing that does not arrive whole, as it exceeds maxBody or its connection
-// ends: the same listing would be asked for again and again.
+// Guards against a listing that does not arrive whole, as it exceeds maxBody, is refused or its
+// connection ends: the same listing would be asked for again and again.
 func (c *Consul) listByKey(ctx context.Context, prefix string) (Listing, error) {
 	var names []string
 	index, err := c.read(ctx, prefix, url.Values{"keys": {""}}, &names)
--- a/internal/store/consul.go
+++ b/internal/store/consul.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"rosedale.dev/rosedale/internal/hedge"
 	"rosedale.dev/rosedale/internal/sockopt"
 	"rosedale.dev/rosedale/internal/stall"
 )
@@ -114,8 +115,8 @@
 		q.Set("wait", jitteredWatchTime().String())
 	}
 	l, err := c.list(ctx, prefix, q)
-	var cut *bodyError
-	if errors.As(err, &cut) {
+	var undelivered *undeliveredError
+	if errors.As(err, &undelivered) && ctx.Err() == nil {
 		return c.listByKey(ctx, prefix)
 	}
 	return l, err
@@ -132,11 +133,12 @@
 	return l, err
 }
 
-// bodyError is the failure of a response that began as it should.
-type bodyError struct{ error }
+// undeliveredError is the failure of a read over a connection: the store refused it, did not answer
+// it in time, or its response did not arrive whole. A smaller read may succeed.
+type undeliveredError struct{ error }
 
 // Unwrap returns the cause.
-func (e *bodyError) Unwrap() error { return e.error }
+func (e *undeliveredError) Unwrap() error { return e.error }
 
 // read decodes the response to a read, unless there is no such key, and returns its index.
 func (c *Consul) read(ctx context.Context, key string, q url.Values, into any) (uint64, error) {
@@ -148,7 +150,11 @@
 	defer cancel(nil)
 	timer := time.AfterFunc(timeout, func() { cancel(errNoResponse) })
 	defer timer.Stop()
+	ctx, trace := hedge.WithTrace(ctx)
 	resp, err := c.call(ctx, http.MethodGet, key, q, nil)
+	if err != nil && trace.Connection().Made {
+		return 0, &undeliveredError{err}
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -157,11 +163,8 @@
 	if resp.StatusCode == http.StatusNotFound && index > 0 {
 		return index, nil
 	}
-	if resp.StatusCode != http.StatusOK {
-		return 0, errors.Errorf("store: read %s at %s: %s", key, c.base, resp.Status)
-	}
-	if index == 0 {
-		return 0, errors.Errorf("store: read %s at %s: response without an index", key, c.base)
+	if err := checkResponse(resp, index); err != nil {
+		return 0, errors.Wrapf(err, "store: read %s at %s", key, c.base)
 	}
 	// Guards against a listing that takes longer than callTimeout over a slow link: it would be
 	// asked for again as it was, and never arrive.
@@ -170,11 +173,24 @@
 		if body.N <= 0 {
 			err = ErrTooLarge
 		}
-		return 0, errors.Wrapf(&bodyError{err}, "store: read %s at %s", key, c.base)
+		return 0, errors.Wrapf(&undeliveredError{err}, "store: read %s at %s", key, c.base)
 	}
 	return index, nil
 }
 
+// checkResponse checks the status of the response to a read and its index.
+func checkResponse(resp *http.Response, index uint64) error {
+	switch {
+	case resp.StatusCode >= http.StatusInternalServerError:
+		return &undeliveredError{errors.New(resp.Status)}
+	case resp.StatusCode != http.StatusOK:
+		return errors.New(resp.Status)
+	case index == 0:
+		return errors.New("response without an index")
+	}
+	return nil
+}
+
 // Swap implements Store.
 func (c *Consul) Swap(ctx context.Context, key string, value []byte, old uint64) error {
 	return c.write(ctx, http.MethodPut, key, value, old)
--- a/internal/store/slow_test.go
+++ b/internal/store/slow_test.go
@@ -55,3 +55,33 @@
 		t.Errorf("listing %+v, %v", l, err)
 	}
 }
+
+// The store refuses each listing of a shard, or does not begin to answer it, while it serves single
+// keys. They must be read one by one instead of listed again and again.
+func TestListingWithoutResponseIsReadByKey(t *testing.T) {
+	t.Parallel()
+	for name, refuse := range map[string]http.HandlerFunc{
+		"refused":    func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"unanswered": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("X-Consul-Index", "7")
+				switch q := r.URL.Query(); {
+				case q.Has("recurse"):
+					refuse(w, r)
+				case q.Has("keys"):
+					_, _ = w.Write([]byte(`["p/a"]`))
+				default:
+					_, _ = w.Write([]byte(`[{"Key":"p/a","Value":"eA==","ModifyIndex":6}]`))
+				}
+			}))
+			defer s.Close()
+			l, err := store.NewConsul(s.URL, "").List(context.Background(), "p/", 0)
+			if err != nil || l.Index != 7 || len(l.Pairs) != 1 {
+				t.Errorf("listing %+v, %v", l, err)
+			}
+		})
+	}
+}
