rosedaled: reads key by key go on where they failed

What would be seen: with many keys in a shard and a store that answers most reads only, some read fails each time, and each attempt began with the first key again.

Cause: what an attempt had read was dropped with its first failure.

It is kept until the listing is complete. Values of an earlier attempt may have changed since; the listing therefore has the index of the first names, from which the next query shows such changes at once.

--- a/internal/store/consul.go
+++ b/internal/store/consul.go
@@ -45,15 +45,19 @@
 
 // Consul implements Store with Consul's HTTP API (KV store and blocking queries).
 type Consul struct {
-	base   string
-	token  string
-	client *http.Client
+	base    string
+	token   string
+	client  *http.Client
+	partial partialListings
 }
 
 // NewConsul returns a Store at the base URL, such as http://127.0.0.1:8500. Requests
 // carry token unless it is empty.
 func NewConsul(base, token string) *Consul {
-	return &Consul{base: base, token: token, client: &http.Client{Transport: newTransport()}}
+	return &Consul{
+		base: base, token: token, client: &http.Client{Transport: newTransport()},
+		partial: partialListings{byPrefix: map[string]*partialListing{}},
+	}
 }
 
 // newTransport returns a transport that closes connections whose other end is gone.
--- a/internal/store/slow_test.go
+++ b/internal/store/slow_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,3 +87,38 @@
 		})
 	}
 }
+
+// Reads of keys one by one fail now and then. The next listing must go on with the keys that are
+// missing, as with many keys some read would fail each time.
+func TestReadByKeyContinuesWhereItFailed(t *testing.T) {
+	t.Parallel()
+	var index, reads, failures atomic.Int64
+	index.Store(7)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Consul-Index", strconv.FormatInt(index.Load(), 10))
+		switch q := r.URL.Query(); {
+		case q.Has("recurse"):
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case q.Has("keys"):
+			_, _ = w.Write([]byte(`["p/a","p/b","p/c"]`))
+		case r.URL.Path == "/v1/kv/p/c" && failures.Add(1) == 1:
+			w.WriteHeader(http.StatusInternalServerError)
+		default:
+			reads.Add(1)
+			_, _ = w.Write([]byte(`[{"Key":"` + r.URL.Path[len("/v1/kv/"):] + `","Value":"eA==","ModifyIndex":6}]`))
+		}
+	}))
+	defer s.Close()
+	c := store.NewConsul(s.URL, "")
+	if l, err := c.List(context.Background(), "p/", 0); err == nil {
+		t.Fatalf("listing %+v although a key was not read", l)
+	}
+	index.Store(9) // values that were read may have changed since
+	l, err := c.List(context.Background(), "p/", 0)
+	if err != nil || len(l.Pairs) != 3 || reads.Load() != 3 {
+		t.Errorf("listing %+v, %v, after %d reads of keys; want 3 pairs and 3 reads", l, err, reads.Load())
+	}
+	if l.Index != 7 {
+		t.Errorf("index %d, want that of the first names, so that changes since are read", l.Index)
+	}
+}
