--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -100,7 +100,7 @@
 	}
 	c.readDone = now
 	c.wantsCopy, c.copyTooLarge = false, false
-	c.noteReadTime(res.startedAt)
+	c.edge.times.read.RecordDuration(now - res.startedAt)
 	c.noteListing(res)
 	if res.full {
 		c.noteOutdated(res)
--- a/internal/edge/readlog.go
+++ b/internal/edge/readlog.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"time"
-
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -64,11 +62,6 @@
 	return []zap.Field{zap.Stringer("failure", failed.Failure), zap.Int("status", failed.Status), zap.Int("bytes", failed.Bytes)}
 }
 
-// noteReadTime records the duration of a successful read.
-func (c *control) noteReadTime(startedAt time.Duration) {
-	c.edge.times.read.RecordDuration(c.now() - startedAt)
-}
-
 // noteListing counts and logs a listing that was made because the changes did not arrive.
 func (c *control) noteListing(res readResult) {
 	n := &c.edge.counts
