soak: the frame of a series of changes stands once; a lost flow after all faults is traced

TestChangesBesideSilence and TestChangesThatDoNotArrive had the same sixteen lines; TestSoak had their loop over seeds a third time.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -169,7 +169,8 @@
 				fl.Close()
 			}
 			if err != nil {
-				w.t.Errorf("balancer %s, address %v, after all faults: %v", n.addr, to, err)
+				w.t.Errorf("balancer %s, address %v, after all faults, flow from %v: %v", n.addr, to, fl.Local(), err)
+				w.trace(fl.Local())
 			}
 		}
 	}
--- a/test/soak/silence_test.go
+++ b/test/soak/silence_test.go
@@ -1,27 +1,9 @@
 package soak
 
 import (
-	"encoding/json"
 	"math/rand/v2"
-	"net"
-	"net/http"
-	"strconv"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
-
-	"rosedale.dev/rosedale/internal/edge"
-)
-
-const (
-	// seriesTime is how long changes are made in series.
-	seriesTime = 12 * time.Second
-	// applyTime is the time within which a change has to be in force.
-	applyTime = 3 * time.Second
-	// calmTime is how long after a disturbance of its process a balancer has to keep to
-	// applyTime again.
-	calmTime = 4 * time.Second
 )
 
 // silenceSeeds lists the seeds that are always run.
@@ -29,60 +11,16 @@
 
 // TestChangesBesideSilence makes changes in series while open connections go silent, and
 // balancers are killed, stopped, paused and started again. Each change has to be in force in
-// time at every balancer that is not disturbed itself. The number of further random seeds is
-// that of TestSoak.
+// time at every balancer that is not disturbed itself.
 func TestChangesBesideSilence(t *testing.T) {
-	seeds := append([]uint64{}, silenceSeeds...)
-	for range freshSeeds(t) {
-		seeds = append(seeds, rand.Uint64())
-	}
-	for i, seed := range seeds {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			t.Parallel()
-			changesBesideSilence(t, i+1, seed)
-		})
-	}
-}
-
-// series makes changes and checks when they are in force.
-type series struct {
-	*world
-	calmSince []time.Time // by balancer; guarded by world.mu
-	checks    sync.WaitGroup
-	checked   int // guarded by world.mu
-}
-
-func changesBesideSilence(t *testing.T, block int, seed uint64) {
-	s := &series{world: newSilenceableWorld(t, block)}
-	s.calmSince = make([]time.Time, len(s.nodes))
-	for i := range 3 {
-		s.callers.Add(1)
-		go s.runCaller(rand.New(rand.NewPCG(seed, uint64(100+i))), rand.New(rand.NewPCG(seed, uint64(200+i))), i)
-	}
-	time.Sleep(calmTime)
-	end := time.Now().Add(seriesTime)
-	var background sync.WaitGroup
-	background.Go(func() { s.silenceRepeatedly(rand.New(rand.NewPCG(seed, 21)), end) })
-	background.Go(func() { s.disturb(rand.New(rand.NewPCG(seed, 22)), end) })
-	r := rand.New(rand.NewPCG(seed, 23))
-	for time.Now().Before(end) {
-		s.change(r)
-		time.Sleep(time.Duration(50+r.IntN(900)) * time.Millisecond)
-	}
-	background.Wait()
-	s.checks.Wait()
-	s.mu.Lock()
-	s.extra = true
-	s.changeCatalogue()
-	s.mu.Unlock()
-	time.Sleep(settleTime)
-	s.stopCallers()
-	s.checkRecovered(false)
-	t.Logf("seed %d: %d requests, %d answered; %d checks of a version; %v", seed, s.sent.Load(), s.answered.Load(), s.checked, s.faultCounts)
+	runSeeds(t, silenceSeeds, func(t *testing.T, block int, seed uint64) {
+		s := newSeries(t, block)
+		s.run(seed, s.silenceRepeatedly, s.change)
+	})
 }
 
 // change writes a version, or several in quick succession, and checks the last one later.
-func (s *series) change(r *rand.Rand) {
+func (s *series) change(r *rand.Rand) time.Duration {
 	s.mu.Lock()
 	for range 1 + r.IntN(3) {
 		s.extra = r.IntN(2) == 0
@@ -90,52 +28,7 @@
 	}
 	s.mu.Unlock()
 	s.checkLater()
-}
-
-// checkLater checks the present version after applyTime.
-func (s *series) checkLater() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	version := s.version
-	s.checks.Go(func() {
-		time.Sleep(applyTime)
-		s.checkVersion(version)
-	})
-}
-
-// checkVersion checks that the version, which was written applyTime ago, is in force at all
-// balancers that have been calm.
-func (s *series) checkVersion(version int) {
-	now := time.Now()
-	for i, n := range s.nodes {
-		s.mu.Lock()
-		calm := !n.down && now.Sub(s.calmSince[i]) > calmTime
-		s.checked++
-		s.mu.Unlock()
-		if !calm {
-			continue
-		}
-		got, err := n.version()
-		s.mu.Lock()
-		calm = !n.down && s.calmSince[i].Before(now)
-		s.mu.Unlock()
-		if calm && (err != nil || got < int64(version)) {
-			s.t.Errorf("balancer %s has version %d (%v) %v after version %d was written", n.addr, got, err, applyTime, version)
-		}
-	}
-}
-
-// version returns the version in force at a balancer.
-func (n *node) version() (int64, error) {
-	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + net.JoinHostPort(n.addr.String(), edge.AdminPort) + edge.StatusPath)
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var status edge.Status
-	err = json.NewDecoder(resp.Body).Decode(&status)
-	return status.Version, err
+	return time.Duration(50+r.IntN(900)) * time.Millisecond
 }
 
 // silenceRepeatedly silences the open connections of all or of some balancers, to each other
@@ -162,33 +55,3 @@
 		}
 	}
 }
-
-// disturb kills, stops or pauses one balancer after another.
-func (s *series) disturb(r *rand.Rand, until time.Time) {
-	for time.Now().Before(until) {
-		time.Sleep(time.Duration(r.IntN(1500)) * time.Millisecond)
-		i, kind := r.IntN(len(s.nodes)), r.IntN(3)
-		n := s.nodes[i]
-		if time.Since(n.started) < signalGrace {
-			continue
-		}
-		s.mu.Lock()
-		s.faultCounts[[]string{"kill", "term", "pause"}[kind]]++
-		n.down = true
-		s.mu.Unlock()
-		_ = n.cmd.Process.Signal([]syscall.Signal{syscall.SIGKILL, syscall.SIGTERM, syscall.SIGSTOP}[kind])
-		time.Sleep(time.Duration(300+r.IntN(2000)) * time.Millisecond)
-		if kind == 2 {
-			_ = n.cmd.Process.Signal(syscall.SIGCONT)
-		} else {
-			<-n.ended
-		}
-		s.mu.Lock()
-		if kind != 2 {
-			s.start(n)
-		}
-		n.down = false
-		s.calmSince[i] = time.Now()
-		s.mu.Unlock()
-	}
-}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -37,18 +37,7 @@
 // TestSoak runs the regressions and some random seeds. The environment variable
 // SOAK_SEEDS sets the number of random seeds, SOAK_BALANCERS the number of balancers
 // in each run.
-func TestSoak(t *testing.T) {
-	seeds := append([]uint64{}, regressions...)
-	for range freshSeeds(t) {
-		seeds = append(seeds, rand.Uint64())
-	}
-	for i, seed := range seeds {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			t.Parallel()
-			soak(t, i+1, seed)
-		})
-	}
-}
+func TestSoak(t *testing.T) { runSeeds(t, regressions, soak) }
 
 // freshSeeds returns the number of random seeds.
 func freshSeeds(t *testing.T) int { return envNumber(t, "SOAK_SEEDS", 1) }
--- a/test/soak/undelivered_test.go
+++ b/test/soak/undelivered_test.go
@@ -3,8 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/netip"
-	"strconv"
-	"sync"
 	"testing"
 	"time"
 
@@ -33,57 +31,20 @@
 
 // TestChangesThatDoNotArrive writes versions of a large catalogue in storms while the store does
 // not deliver what has become large, and balancers are killed, stopped, paused and started again.
-// Each last version has to be in force in time at every balancer that is not disturbed itself. The
-// number of further random seeds is that of TestSoak.
+// Each last version has to be in force in time at every balancer that is not disturbed itself.
 func TestChangesThatDoNotArrive(t *testing.T) {
-	seeds := append([]uint64{}, undeliveredSeeds...)
-	for range freshSeeds(t) {
-		seeds = append(seeds, rand.Uint64())
-	}
-	for i, seed := range seeds {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			t.Parallel()
-			changesThatDoNotArrive(t, i+1, seed)
-		})
-	}
-}
-
-func changesThatDoNotArrive(t *testing.T, block int, seed uint64) {
-	s := &series{world: newSilenceableWorld(t, block)}
-	s.calmSince = make([]time.Time, len(s.nodes))
-	for i := range idleRoutes {
-		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 19, byte(i / 200), byte(i%200 + 1)}), 443)
-		s.idle = append(s.idle, direct.Route{Address: at, Service: serviceOf[previews]})
-	}
-	for i := range 3 {
-		s.callers.Add(1)
-		go s.runCaller(rand.New(rand.NewPCG(seed, uint64(100+i))), rand.New(rand.NewPCG(seed, uint64(200+i))), i)
-	}
-	time.Sleep(calmTime)
-	end := time.Now().Add(seriesTime)
-	var background sync.WaitGroup
-	background.Go(func() { s.changePaces(rand.New(rand.NewPCG(seed, 31)), end) })
-	background.Go(func() { s.disturb(rand.New(rand.NewPCG(seed, 32)), end) })
-	r := rand.New(rand.NewPCG(seed, 33))
-	for time.Now().Before(end) {
-		s.storm(r)
-		time.Sleep(time.Duration(50+r.IntN(1500)) * time.Millisecond)
-	}
-	background.Wait()
-	s.checks.Wait()
-	s.store.SetPace(direct.Pace{})
-	s.mu.Lock()
-	s.extra = true
-	s.changeCatalogue()
-	s.mu.Unlock()
-	time.Sleep(settleTime)
-	s.stopCallers()
-	s.checkRecovered(false)
-	t.Logf("seed %d: %d requests, %d answered; %d checks of a version; %v", seed, s.sent.Load(), s.answered.Load(), s.checked, s.faultCounts)
+	runSeeds(t, undeliveredSeeds, func(t *testing.T, block int, seed uint64) {
+		s := newSeries(t, block)
+		for i := range idleRoutes {
+			at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 19, byte(i / 200), byte(i%200 + 1)}), 443)
+			s.idle = append(s.idle, direct.Route{Address: at, Service: serviceOf[previews]})
+		}
+		s.run(seed, s.changePaces, s.storm)
+	})
 }
 
 // storm writes versions in quick succession, and checks the last one later.
-func (s *series) storm(r *rand.Rand) {
+func (s *series) storm(r *rand.Rand) time.Duration {
 	for range 1 + r.IntN(maxStorm) {
 		s.mu.Lock()
 		s.extra = r.IntN(2) == 0
@@ -92,6 +53,7 @@
 		time.Sleep(stormGap)
 	}
 	s.checkLater()
+	return time.Duration(50+r.IntN(1500)) * time.Millisecond
 }
 
 // changePaces changes how the store sends responses again and again.
