direct: a target is checked soon while requests with unseen ends hold places there

What callers saw: after an overload, openings to a service with one idle target waited for more than 1.4 s and were given up or rejected.

Cause: a place whose request ended unseen is given back once its target has shown life. While such requests hold all places, no packet shows any, only an answered check does, and a target is checked once a second at most. The log of such a run has the target's checks at 08.18, 09.28 and 10.28 s and, between these, up to twelve openings that waited for one of four places, the longest for 1.16 s.

A place whose time is over now asks for a check itself, 250 ms after the one before at the earliest. Targets with evidence against them are checked as before.

TestTargetOfUnseenEndsIsCheckedSoon: 'opening still held after 600ms and 1 checks' before.

TestOpeningIsHeldAndForwarded sets a goal of 2 s: with one of 150 ms the places of its idle flows are now given back, as an answered check shows life, before the counter that it waits for is printed. What it checks is unchanged.

--- a/internal/direct/ends.go
+++ b/internal/direct/ends.go
@@ -83,12 +83,29 @@
 			continue
 		}
 		timeout := f.placeTimeout(fl)
-		if now-w.since > timeout && fl.place.target.showsLifeSince(w.since+timeout/2) {
+		switch {
+		case now-w.since <= timeout:
+		case fl.place.target.showsLifeSince(w.since + timeout/2):
 			f.expirePlace(fl)
+		default:
+			f.requestLife(fl.place.target)
 		}
 	}
 }
 
+// requestLife makes a target without evidence against it due for a check, whose answer gives back
+// the places of requests that have ended unseen.
+//
+// While these hold all places, no packet shows life of their targets, and openings would wait for
+// as long as checkPause beside idle targets.
+func (f *Forwarder) requestLife(t *target) {
+	if t.dead || t.stalls > 0 || t.failedChecks > 0 {
+		return
+	}
+	t.lifeWanted = true
+	f.requestCheck(t)
+}
+
 // shortOfPlaces reports whether a limit of some gate was reached recently.
 func (f *Forwarder) shortOfPlaces(now time.Duration) bool {
 	for _, g := range f.gates {
--- a/internal/direct/ends_test.go
+++ b/internal/direct/ends_test.go
@@ -210,3 +210,26 @@
 	}
 	b.wantInFlight(0)
 }
+
+// Requests with unseen ends hold all places, and their target was checked just before they began. It
+// must be checked again soon, or openings wait beside an idle target until checkPause is over.
+func TestTargetOfUnseenEndsIsCheckedSoon(t *testing.T) {
+	b := newGated(t, target1(1, "a"))
+	b.learnUsualTime()
+	ids := b.fill(placesPerTarget)
+	b.f.requestCheck(b.state(ids[0]))
+	b.want(b.handle(packet(99, streams, SYN, 0)), HeldOpening)
+	const within = 600 * time.Millisecond
+	checks := 0
+	for end := b.now + within; b.now < end; {
+		for _, x := range b.f.TargetsToCheck(b.now) {
+			checks++
+			b.f.Checked(b.now, x.Start(), Alive)
+		}
+		if d, released := b.pass(50 * time.Millisecond)[99]; released {
+			b.want(d, OpenedNear)
+			return
+		}
+	}
+	t.Errorf("opening still held after %v and %d checks", within, checks)
+}
--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -15,8 +15,11 @@
 	// covers two checks and the pause before the next one.
 	suspicionTime = 1500 * time.Millisecond
 	// checkPause is the minimum time between the starts of two checks of one target, as each
-	// takes one of its slots. confirmPause and recheckPause are the exceptions.
+	// takes one of its slots. confirmPause, recheckPause and lifePause are the exceptions.
 	checkPause = time.Second
+	// lifePause is that time while openings wait for places that a sign of life would give back:
+	// half of a goal of 0.5 s.
+	lifePause = 250 * time.Millisecond
 	// confirmPause is that time after a first failed check, because the second one decides, and
 	// as long as a target is found gone but is not marked dead.
 	confirmPause = 50 * time.Millisecond
@@ -95,7 +98,7 @@
 		}
 		t.checkRunning = true
 		f.checksRunning++
-		t.checkWanted = false
+		t.checkWanted, t.lifeWanted = false, false
 		t.overdue = false
 		t.checkedAt = now
 		out = append(out, t.Target)
@@ -112,6 +115,8 @@
 		pause = recheckPause
 	case t.failedChecks == 1 || t.finding == Gone && !t.dead:
 		pause = confirmPause
+	case t.lifeWanted:
+		pause = lifePause
 	}
 	switch {
 	case t.checkRunning || now-t.checkedAt < pause:
--- a/internal/direct/targetstate.go
+++ b/internal/direct/targetstate.go
@@ -42,6 +42,7 @@
 	callersWaited   bool          // callers of this balancer waited for it when it was marked dead
 
 	checkWanted  bool // check it without further evidence
+	lifeWanted   bool // places would be given back by a sign of life
 	linkProbe    bool // the check is one of this balancer's own link
 	checkRunning bool
 	checkedAt    time.Duration // start of the latest check
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// withGoal sets the goal of all routes of a desired state.
+func withGoal(state map[string]any, goal time.Duration) map[string]any {
+	for _, r := range state["routes"].([]map[string]any) {
+		r["goalMs"] = goal.Milliseconds()
+	}
+	return state
+}
+
 // block numbers the address blocks of the tests. The process ID keeps concurrent runs of
 // the tests apart; see address.
 var block struct {
--- a/internal/edge/held_test.go
+++ b/internal/edge/held_test.go
@@ -8,6 +8,7 @@
 
 	"rosedale.dev/rosedale/internal/direct"
 	standin "rosedale.dev/rosedale/internal/standin/direct"
+	"rosedale.dev/rosedale/platform"
 )
 
 // Callers take all places of a service at a balancer that is alone. A further opening has to be
@@ -17,10 +18,12 @@
 	t.Parallel()
 	d := deploy(t, 1)
 	b := d.balancers[0]
-	const places = 4 * direct.RequestsPerSlot // at two targets of two slots
+	d.store.Put(platform.CatalogueKey, withGoal(desiredState(2, previews, scans), 2*time.Second)) // places are kept for as long
+	const places = 4 * direct.RequestsPerSlot                                                     // at two targets of two slots
 	d.eventually(3*time.Second, "the balancer knows that it is alone", func() bool {
-		for _, g := range b.adminStatus(t).Gates {
-			if g.Service == "catalogue" && len(g.Pools) > 0 && g.Pools[0].Share == places {
+		s := b.adminStatus(t)
+		for _, g := range s.Gates {
+			if s.Version == 2 && g.Service == "catalogue" && len(g.Pools) > 0 && g.Pools[0].Share == places {
 				return true
 			}
 		}
