edge: balancers do not list the store over one link at once

What callers saw: with the reader lost in a storm of a large catalogue, and a store that sends 0.6 MB/s to all balancers together, changes were in force up to 4.9 s after their ack.

Where all share what is slow, five listings at once take five times as long, and each of the five balancers began its own, 0.1 to 0.25 s after the one before, as reads take milliseconds. The order of readers exists to avoid that, but a balancer counted as a reader only after its first successful read.

A heartbeat now tells that parts of a response of the store arrive at its sender, which counts as reading then: others wait until the age of the last in order, as for any reader. That age was a term of both longest sums already, so that the bound stays. If the replica is older than 1.3 s, when others are about to read, the first part is announced at once. A read ends when a peer's answer has moved the replica on: the rest would only occupy the link. Older versions ignore the field.

--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -110,8 +110,9 @@
 	proven := requestedAt - ch.Age
 	if ch.Full {
 		c.applyCopy(items, ch.Revision(), proven, from.String())
-		return true
+	} else {
+		c.applyChanges(c.replica.Merge(items, ch.Revision(), proven), from.String(), requestedAt)
 	}
-	c.applyChanges(c.replica.Merge(items, ch.Revision(), proven), from.String(), requestedAt)
+	c.endOutdatedRead()
 	return true
 }
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -86,6 +86,8 @@
 	failedReads       failedReads
 	listings          replica.Listings
 	listing           listingJob // used by the read under way
+	read              *storeRead // under way, or nil
+	arrivals          arrivals
 }
 
 // peerState is the state of another balancer according to its heartbeats.
@@ -118,6 +120,7 @@
 		unregistered: map[string]bool{},
 		underWay:     map[int]*peerRequest{},
 	}
+	c.store.Arrived = c.noteArrival
 	c.replica.LimitLog(logBytes(e.boot.MemoryMB))
 	c.stepBack.Start(c.now())
 	return c, c.serve()
--- a/internal/edge/counts.go
+++ b/internal/edge/counts.go
@@ -15,6 +15,7 @@
 	readFailuresBy                               [platform.Unusable + 1]atomic.Uint64
 	readsTooLarge                                atomic.Uint64 // of changes of the store, which was listed instead
 	listingsLate                                 atomic.Uint64 // beside changes of the store that were late
+	readsOutdated                                atomic.Uint64 // ended as a peer's answer had come first
 	listingsFailed                               atomic.Uint64 // after changes of the store that failed to arrive
 	changesTooLarge                              atomic.Uint64 // answers of peers
 	answersRefused                               atomic.Uint64 // to peers, as too much is being sent
--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -137,6 +137,7 @@
 		h.History = c.replica.History()
 		h.Age = c.replica.Age(now)
 		h.Reading = c.reader.Succeeding(now) && now-c.readDone < peerSilent
+		h.Arriving = c.arrivals.underWay(now, c.readDone)
 	}
 	e := c.edge
 	e.mu.Lock()
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -40,6 +40,7 @@
 	m.Gauge("store_reads_failed_here", func() float64 { return float64(e.readsFailedHere.Load()) })
 	m.Counter("store_reads_too_large", n.readsTooLarge.Load)
 	m.Counter("store_listings_late", n.listingsLate.Load)
+	m.Counter("store_reads_outdated", n.readsOutdated.Load)
 	m.Counter("store_listings_failed", n.listingsFailed.Load)
 	m.Counter("store_eras_begun", n.erasBegun.Load)
 	m.Counter("listings_outdated", n.listingsOutdated.Load)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -137,7 +137,7 @@
 }
 
 // hasActiveReader reports whether a balancer earlier in the order of readers reads the
-// store. A balancer whose replica is of an earlier era, or whose older version does not
+// store, or a response of the store arrives there. A balancer whose replica is of an earlier era, or whose older version does not
 // support eras, proves nothing to this one and is not counted. It also forgets balancers
 // that have been silent for longer than peerRetention.
 func (c *control) hasActiveReader(now time.Duration) bool {
@@ -146,7 +146,7 @@
 			delete(c.peers, name)
 			continue
 		}
-		if p.isActive(now) && p.last.Reading && p.last.Era >= c.replica.Position().Era && c.fleet.Before(name) {
+		if p.isActive(now) && (p.last.Reading || p.last.Arriving) && p.last.Era >= c.replica.Position().Era && c.fleet.Before(name) {
 			return true
 		}
 	}
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -18,6 +18,8 @@
 	}
 	c.reader.Started(now)
 	r := c.newRead(now)
+	c.read = r
+	c.arrivals.announce.Store(c.replica.Loaded() && c.replica.Age(now) >= replica.TakeoverAge)
 	if r.first {
 		ctx = c.firstCopyCtx
 	}
@@ -40,6 +42,16 @@
 		mayList:   c.listings.May(now),
 		listing:   &c.listing,
 		listed:    func() { c.post(c.readIfListed) },
+		outdated:  make(chan struct{}),
+	}
+}
+
+// endOutdatedRead ends the read under way if the replica has moved on from its position, by a
+// peer's answer. The rest of the store's response would only occupy the link.
+func (c *control) endOutdatedRead() {
+	if c.read != nil && c.read.position != c.replica.Position() {
+		close(c.read.outdated)
+		c.read = nil
 	}
 }
 
@@ -83,9 +95,16 @@
 
 func (c *control) handleRead(res readResult) {
 	now := c.now()
-	if res.first && res.err != nil && c.replica.Loaded() {
+	c.read = nil
+	switch {
+	case res.first && res.err != nil && c.replica.Loaded():
 		c.reader.Abandoned() // a peer has provided a copy in the meantime
 		return
+	case errors.Is(res.err, errOutdated):
+		c.edge.counts.readsOutdated.Add(1)
+		c.reader.Abandoned()
+		c.readAt = max(now, res.startedAt+replica.ReadInterval)
+		return
 	}
 	if res.err == nil && res.position.Era < c.replica.Position().Era {
 		res.err = errors.Errorf("store: answer is of era %d, but the replica is of era %d", res.position.Era, c.replica.Position().Era)
--- a/internal/edge/storeread.go
+++ b/internal/edge/storeread.go
@@ -24,6 +24,9 @@
 // errListingSlow ends a read whose listing is under way while nothing of it arrives.
 var errListingSlow = errors.New("store: nothing arrives of a listing")
 
+// errOutdated ends a read that the replica needs no more.
+var errOutdated = errors.New("store: the replica has moved on")
+
 // readResult is the outcome of a read of the store.
 type readResult struct {
 	full      bool // a listing instead of changes
@@ -48,6 +51,7 @@
 	mayList   bool          // if the store refuses changes or does not answer
 	listing   *listingJob   // may be under way
 	listed    func()        // is called when an attempt to list the store has ended
+	outdated  chan struct{} // is closed when the replica has moved on from position
 }
 
 // run reads the store. An attempt to list it may still be under way when it returns.
@@ -86,6 +90,10 @@
 			}
 			failed = res
 		case <-r.listing.stopped(changes.done == nil):
+		case <-r.outdated:
+			r.listing.abandon()
+			failed.err = errOutdated
+			return failed
 		}
 		if changes.done == nil && !r.listing.advances() {
 			return failed
--- a/internal/edge/unreadable_test.go
+++ b/internal/edge/unreadable_test.go
@@ -57,6 +57,23 @@
 	}
 }
 
+// All balancers reach the store over one slow link, which a listing of each at once would occupy for
+// longer than a change may take. One has to list it, and the others to fetch the copy.
+func TestBalancersDoNotListOverOneLinkAtOnce(t *testing.T) {
+	t.Parallel()
+	d := deployWide(t)
+	last := d.storm(direct.Pace{LinkSpeed: 300_000}) // 0.7 s for a listing
+	acked := time.Now()
+	for _, b := range d.balancers {
+		d.eventually(20*time.Second, fmt.Sprintf("%s has the last version", b.boot.VM), func() bool {
+			return b.adminStatus(t).Version == int64(last)
+		})
+	}
+	if took := time.Since(acked); took > changeBound {
+		t.Errorf("the last version was in force everywhere after %v, want at most %v", took, changeBound)
+	}
+}
+
 // The store needs longer for the first page of a listing than a call may take, each time. Listings
 // must wait longer instead of beginning anew.
 func TestListingSlowerThanItsLimitArrives(t *testing.T) {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -65,6 +65,9 @@
 	// Settling is the remaining settling time after the store was restored from an older
 	// copy, in which entries written after that copy may be missing.
 	Settling time.Duration `cbor:"16,keyasint,omitempty"`
+	// Arriving is set while parts of a response of the store arrive at the sender, which may
+	// take long over a slow link.
+	Arriving bool `cbor:"17,keyasint,omitempty"`
 }
 
 // Revision returns the revision up to which the sender's replica is complete.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -86,7 +86,7 @@
 		loads[direct.TargetID(1)<<40+direct.TargetID(i)] = direct.Load{Flows: 1000, Busy: 20}
 	}
 	h := Heartbeat{From: strings.Repeat("x", 40), DataCenter: strings.Repeat("y", 20), Control: netip.MustParseAddrPort("10.200.200.200:65535"),
-		Position: 1 << 40, Age: time.Hour, LastChange: 1 << 40, Reading: true, Loads: TargetLoads(loads), Version: 1 << 40}
+		Position: 1 << 40, Age: time.Hour, LastChange: 1 << 40, Reading: true, Loads: TargetLoads(loads), Version: 1 << 40, Arriving: true}
 	for i := range MaxSuspected {
 		h.Suspected = append(h.Suspected, 1<<40+uint64(i))
 	}
--- a/internal/peer/upgrade_test.go
+++ b/internal/peer/upgrade_test.go
@@ -69,7 +69,7 @@
 func TestFirstVersionDecodesCurrentHeartbeats(t *testing.T) {
 	sent := Heartbeat{From: "vm-2", DataCenter: "b", Control: netip.MustParseAddrPort("10.0.0.2:17002"), Position: 5, Age: time.Second, LastChange: 4,
 		Reading: true, Loads: []TargetLoad{{ID: 7, Flows: 1, Busy: 2}}, Suspected: []uint64{8}, Version: 3, Leaving: true,
-		History: 2, Dead: []int{0}, Era: 2, Settling: time.Second, Outcomes: TargetOutcomes(map[direct.TargetID]direct.Outcome{7: {Good: 1, Bad: 2}})}
+		History: 2, Dead: []int{0}, Era: 2, Settling: time.Second, Arriving: true, Outcomes: TargetOutcomes(map[direct.TargetID]direct.Outcome{7: {Good: 1, Bad: 2}})}
 	b, err := Encode(sent)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/replica/listing.go
+++ b/internal/replica/listing.go
@@ -8,7 +8,7 @@
 	changesPatience = 150 * time.Millisecond
 	// listAge is the age of the replica up to which changes are waited for at least, so that
 	// the reader does not list a store that is slow but current enough.
-	listAge = takeoverAge
+	listAge = TakeoverAge
 )
 
 // ListBeside returns how long changes of the store are waited for before the store is listed
--- a/internal/replica/listing_test.go
+++ b/internal/replica/listing_test.go
@@ -9,12 +9,12 @@
 // and not as long as the replica is current enough.
 func TestListingBesideLateChanges(t *testing.T) {
 	for age, want := range map[time.Duration]time.Duration{
-		0:                             takeoverAge,
-		500 * time.Millisecond:        takeoverAge - 500*time.Millisecond,
-		takeoverAge:                   changesPatience,
+		0:                             TakeoverAge,
+		500 * time.Millisecond:        TakeoverAge - 500*time.Millisecond,
+		TakeoverAge:                   changesPatience,
 		MaxFollowAge:                  changesPatience,
 		MaxFollowAge + FetchPatience:  changesPatience,
-		takeoverAge - changesPatience: changesPatience,
+		TakeoverAge - changesPatience: changesPatience,
 	} {
 		if got := ListBeside(age); got != want {
 			t.Errorf("age %v: listed after %v, want %v", age, got, want)
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -8,9 +8,9 @@
 const (
 	// ReadInterval is the time between two reads by the same reader.
 	ReadInterval = 400 * time.Millisecond
-	// takeoverAge, plus the steps below, is the age of the replica above which a balancer
+	// TakeoverAge, plus the steps below, is the age of the replica above which a balancer
 	// other than the first one starts to read.
-	takeoverAge = 1300 * time.Millisecond
+	TakeoverAge = 1300 * time.Millisecond
 	// dataCenterStep is added for each data centre that ranks before this one, so that only
 	// one balancer takes over when the reader is lost.
 	dataCenterStep = 100 * time.Millisecond
@@ -28,7 +28,7 @@
 	// MaxFollowAge is the age of the replica above which any balancer reads the store itself,
 	// whatever it hears. Requests to peers put that off for awaitPatience at most. Changes
 	// have to be in force within 3 s.
-	MaxFollowAge = takeoverAge + lastDataCenterRank*dataCenterStep + lastRank*rankStep
+	MaxFollowAge = TakeoverAge + lastDataCenterRank*dataCenterStep + lastRank*rankStep
 	// MaxReadInterval bounds the interval after failed reads.
 	MaxReadInterval = 1600 * time.Millisecond
 )
@@ -111,7 +111,7 @@
 	if awaits {
 		return p.maxAge(false, false) + awaitPatience
 	}
-	return takeoverAge + time.Duration(min(p.DataCenterRank, lastDataCenterRank))*dataCenterStep + time.Duration(min(p.Rank, lastRank))*rankStep
+	return TakeoverAge + time.Duration(min(p.DataCenterRank, lastDataCenterRank))*dataCenterStep + time.Duration(min(p.Rank, lastRank))*rankStep
 }
 
 // Done records the outcome of a read and returns the pause before the next one. The pause
--- a/internal/replica/stalesimulation_test.go
+++ b/internal/replica/stalesimulation_test.go
@@ -62,7 +62,7 @@
 type heartbeat struct {
 	at, history, last int64
 	proven, arrived   time.Duration
-	reading           bool
+	reading           bool // or a response of the store arrives
 }
 
 // pooled is a connection.
@@ -120,11 +120,16 @@
 			continue
 		}
 		r := f.replica
-		h := heartbeat{r.Position().Number, r.History(), r.LastChange(), w.now - r.Age(w.now), w.now, f.reader.Succeeding(w.now)}
+		h := heartbeat{r.Position().Number, r.History(), r.LastChange(), w.now - r.Age(w.now), w.now, f.reader.Succeeding(w.now) || w.arrives(f)}
 		w.after(time.Millisecond, func() { w.hear(o, f, h) })
 	}
 }
 
+// arrives reports whether parts of a response of the store arrive at a balancer.
+func (w *staleSimulation) arrives(f *follower) bool {
+	return f.reader.Busy() && !f.cut && (w.changes == tooLate || w.changes == endEarly)
+}
+
 func (w *staleSimulation) hasReader(f *follower) bool {
 	for id, h := range f.heard {
 		before := w.fleet[id].place.Rank < f.place.Rank || w.fleet[id].place.Rank == f.place.Rank && w.fleet[id].place.DataCenterRank < f.place.DataCenterRank
--- a/internal/standin/direct/pace.go
+++ b/internal/standin/direct/pace.go
@@ -9,6 +9,7 @@
 // Pace is how the store sends responses. The zero value sends them at once and whole.
 type Pace struct {
 	BytesPerSecond int           // of each response
+	LinkSpeed      int           // of all responses together, in bytes per second
 	PrepareMB      time.Duration // until a response begins, for each MB of its body
 	// The rest applies to responses whose body exceeds Largest bytes, if that is not 0: they
 	// are sent up to there and then end, or stop if Stall is set, or have status 503 in their
@@ -40,11 +41,11 @@
 		}
 		whole := &wholeResponse{header: w.Header(), status: http.StatusOK}
 		next.ServeHTTP(whole, r)
-		p.send(w, r, whole)
+		s.send(p, w, r, whole)
 	})
 }
 
-func (p Pace) send(w http.ResponseWriter, r *http.Request, whole *wholeResponse) {
+func (s *Store) send(p Pace, w http.ResponseWriter, r *http.Request, whole *wholeResponse) {
 	b := whole.body.Bytes()
 	time.Sleep(time.Duration(float64(len(b)) / 1e6 * float64(p.PrepareMB)))
 	tooLarge := p.Largest > 0 && len(b) > p.Largest
@@ -56,7 +57,7 @@
 	if tooLarge {
 		b = b[:p.Largest]
 	}
-	if !p.sendBody(w, r, b) || !tooLarge {
+	if !s.sendBody(p, w, r, b) || !tooLarge {
 		return
 	}
 	if p.Stall {
@@ -65,11 +66,17 @@
 	panic(http.ErrAbortHandler)
 }
 
-// sendBody sends a body at the given speed. It reports whether all of it was sent.
-func (p Pace) sendBody(w http.ResponseWriter, r *http.Request, b []byte) bool {
+// linkChunk is the size, in bytes, of the chunks in which responses share the link.
+const linkChunk = 4096
+
+// sendBody sends a body at the speed of a pace. It reports whether all of it was sent.
+func (s *Store) sendBody(p Pace, w http.ResponseWriter, r *http.Request, b []byte) bool {
 	flush := http.NewResponseController(w)
 	chunk := len(b)
-	if p.BytesPerSecond > 0 {
+	switch {
+	case p.LinkSpeed > 0:
+		chunk = linkChunk
+	case p.BytesPerSecond > 0:
 		chunk = int(float64(p.BytesPerSecond) * paceStep.Seconds())
 	}
 	for len(b) > 0 {
@@ -81,8 +88,12 @@
 		if b = b[n:]; len(b) == 0 {
 			break
 		}
+		wait := paceStep
+		if p.LinkSpeed > 0 {
+			wait = s.occupyLink(time.Duration(float64(n) / float64(p.LinkSpeed) * float64(time.Second)))
+		}
 		select {
-		case <-time.After(paceStep):
+		case <-time.After(wait):
 		case <-r.Context().Done():
 			return false
 		}
@@ -90,6 +101,19 @@
 	return true
 }
 
+// occupyLink occupies the link for a time, after those that occupy it already, and returns how
+// long that takes.
+func (s *Store) occupyLink(d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.linkFree.Before(now) {
+		s.linkFree = now
+	}
+	s.linkFree = s.linkFree.Add(d)
+	return s.linkFree.Sub(now)
+}
+
 // wholeResponse holds a response until it is complete.
 type wholeResponse struct {
 	header http.Header
--- a/internal/standin/direct/store.go
+++ b/internal/standin/direct/store.go
@@ -58,6 +58,7 @@
 	listCalls   int  // number of calls that list keys
 	refuseLists bool // whether calls that list keys are refused
 	pace        Pace
+	linkFree    time.Time // when the responses sent so far have passed the link; see Pace.LinkSpeed
 	era         int64
 	changed     chan struct{} // closed and replaced at each change
 	srv         *http.Server
