direct: targets are checked soon only for gates that have not seen ends before

Targets that are slow for long under an overload were checked for the places of requests whose ends are seen all the same.

A place asks for a check only while requests wait at its gate, and if the gate has had an unseen end lately.

--- a/internal/direct/ends.go
+++ b/internal/direct/ends.go
@@ -11,6 +11,9 @@
 	// minUnseenEnds is the number of unseen ends, weighted by age, from which on a gate may stop
 	// limiting. A balancer with two places that sees no end has five.
 	minUnseenEnds = 4
+	// minUnseenForChecks is that number from which on requests whose end is not seen cause checks.
+	// A gate that sees the ends, at targets that are slow for long, causes none.
+	minUnseenForChecks = 1
 	// unseenShare and seenAgainShare are the shares of unseen ends at which a gate stops limiting
 	// and begins again.
 	unseenShare    = 0.5
@@ -87,7 +90,7 @@
 		case now-w.since <= timeout:
 		case fl.place.target.showsLifeSince(w.since + timeout/2):
 			f.expirePlace(fl)
-		default:
+		case g.waiting > 0 && g.ends.unseen >= minUnseenForChecks:
 			f.requestLife(fl.place.target)
 		}
 	}
--- a/internal/direct/ends_test.go
+++ b/internal/direct/ends_test.go
@@ -211,11 +211,13 @@
 	b.wantInFlight(0)
 }
 
-// Requests with unseen ends hold all places, and their target was checked just before they began. It
-// must be checked again soon, or openings wait beside an idle target until checkPause is over.
+// Requests with unseen ends, as there were before, hold all places, and their target was checked just
+// before they began. It must be checked again soon, or openings wait beside an idle target until
+// checkPause is over.
 func TestTargetOfUnseenEndsIsCheckedSoon(t *testing.T) {
 	b := newGated(t, target1(1, "a"))
 	b.learnUsualTime()
+	b.f.services["s"].gate.ends = ends{seen: 3 * minUnseenForChecks, unseen: 2 * minUnseenForChecks}
 	ids := b.fill(placesPerTarget)
 	b.f.requestCheck(b.state(ids[0]))
 	b.want(b.handle(packet(99, streams, SYN, 0)), HeldOpening)
