edge, platform: changes that arrive are not given up for a listing that takes longer

Cause: changes that were late were given up whatever had arrived of them.

Late changes are now waited for, a second at most, while they arrive and are less than half of the replica's size.

--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -55,7 +55,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body := stall.NewReader(resp.Body, timer, fetchTimeout, 0)
-	body.Progress = progressed
+	body.Progress = func(int) { progressed() }
 	b, err := io.ReadAll(io.LimitReader(body, maxChanges+1))
 	if err != nil {
 		return nil, errors.Wrapf(trace.Wrap(fetchCause(ctx, err)), "changes from %s: after %d bytes", from, len(b))
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -120,7 +120,6 @@
 		unregistered: map[string]bool{},
 		underWay:     map[int]*peerRequest{},
 	}
-	c.store.Arrived = c.noteArrival
 	c.replica.LimitLog(logBytes(e.boot.MemoryMB))
 	c.stepBack.Start(c.now())
 	return c, c.serve()
--- a/internal/edge/listingjob.go
+++ b/internal/edge/listingjob.go
@@ -32,6 +32,7 @@
 	}
 	if j.Listing == nil || errors.Is(reason, platform.ErrNewEra) {
 		j.Listing = r.store.NewListing("")
+		j.Arrived = func(int) { r.arrived() }
 	}
 	if !j.Begun() {
 		j.startedAt = r.now()
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -42,6 +42,8 @@
 		mayList:   c.listings.May(now),
 		listing:   &c.listing,
 		listed:    func() { c.post(c.readIfListed) },
+		arrived:   c.noteArrival,
+		size:      c.replica.Bytes(),
 		outdated:  make(chan struct{}),
 	}
 }
--- a/internal/edge/storeread.go
+++ b/internal/edge/storeread.go
@@ -13,10 +13,10 @@
 	"rosedale.dev/rosedale/platform"
 )
 
-// connectInterval is the interval at which late changes without a connection are looked at again.
-// A store that cannot be connected to cannot be listed either, and is not to be by all balancers
-// when it is back.
-const connectInterval = 50 * time.Millisecond
+// lateInterval is the interval at which late changes are looked at again that arrive or have no
+// connection. A store that cannot be connected to cannot be listed either, and is not to be by all
+// balancers when it is back.
+const lateInterval = 50 * time.Millisecond
 
 // errLate is the reason of a listing beside changes that do not arrive in time.
 var errLate = errors.New("changes are late")
@@ -51,6 +51,8 @@
 	mayList   bool          // if the store refuses changes or does not answer
 	listing   *listingJob   // may be under way
 	listed    func()        // is called when an attempt to list the store has ended
+	arrived   func()        // is called when a part of a response arrives
+	size      int           // of the replica, in bytes
 	outdated  chan struct{} // is closed when the replica has moved on from position
 }
 
@@ -78,8 +80,8 @@
 				r.listing.attempt(ctx, r, res.err)
 			}
 		case <-late.C:
-			late.Reset(connectInterval)
-			if changes.connected.Load() {
+			late.Reset(lateInterval)
+			if changes.connected.Load() && !changes.mayComeFirst(r) {
 				late.Stop()
 				r.listBeside(ctx, changes)
 			}
@@ -115,9 +117,29 @@
 	cancel    context.CancelFunc
 	connected atomic.Bool     // the request has a connection
 	begun     atomic.Bool     // a response has begun
+	bytes     atomic.Int64    // of its body that have arrived
+	arrivedAt atomic.Int64    // when the last of them arrived, as time.Duration
 	done      chan readResult // nil once the result was received
 }
 
+// arrived records that a part of the response has arrived.
+func (c *changesRequest) arrived(r *storeRead, bytes int) {
+	c.bytes.Add(int64(bytes))
+	c.arrivedAt.Store(int64(r.now()))
+	r.arrived()
+}
+
+// mayComeFirst reports whether the changes, which are late, may still arrive before a listing.
+func (c *changesRequest) mayComeFirst(r *storeRead) bool {
+	now := r.now()
+	a := replica.Arrival{
+		Bytes: int(c.bytes.Load()),
+		Idle:  now - time.Duration(c.arrivedAt.Load()),
+		Late:  now - r.startedAt - r.patience,
+	}
+	return a.MayComeFirst(r.size)
+}
+
 func (r *storeRead) requestChanges(ctx context.Context) *changesRequest {
 	ctx, cancel := context.WithCancel(ctx)
 	req := &changesRequest{cancel: cancel, done: make(chan readResult, 1)}
@@ -128,7 +150,7 @@
 	res := readResult{startedAt: r.startedAt, provenAt: r.startedAt}
 	done := req.done
 	go func() {
-		res.items, res.position, res.err = r.store.Watch(ctx, r.position, 0)
+		res.items, res.position, res.err = r.store.Watch(ctx, r.position, 0, func(bytes int) { req.arrived(r, bytes) })
 		done <- res
 	}()
 	return req
--- a/internal/edge/unreadable_test.go
+++ b/internal/edge/unreadable_test.go
@@ -74,6 +74,31 @@
 	}
 }
 
+// After an outage, short changes arrive over a slow link later than usual. They must not be given up
+// for listings, which take many times as long over a link that all share.
+func TestShortChangesAreNotGivenUp(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 3)
+	d.store.Put(platform.CatalogueKey, largeState(10, stormSize))
+	for _, b := range d.balancers {
+		d.eventually(5*time.Second, "the version is in force", func() bool { return b.adminStatus(t).Version == 10 })
+	}
+	d.store.FailAll(direct.Busy)
+	time.Sleep(replica.MaxFollowAge + replica.MaxReadInterval)
+	for i := range 10 {
+		d.store.PutRaw(fmt.Sprintf("op/note-%d", i), make([]byte, 1500))
+	}
+	d.store.SetPace(direct.Pace{LinkSpeed: 100_000}) // 0.2 s for the changes, 2 s for a listing
+	listings := d.store.Listings()
+	d.store.FailAll(direct.Healthy)
+	for _, b := range d.balancers {
+		d.eventually(2*replica.MaxReadInterval, "the copy is current", func() bool { return b.adminStatus(t).Age < time.Second })
+	}
+	if n := d.store.Listings() - listings; n > 0 {
+		t.Errorf("the store was listed %d times", n)
+	}
+}
+
 // The store needs longer for the first page of a listing than a call may take, each time. Listings
 // must wait longer instead of beginning anew.
 func TestListingSlowerThanItsLimitArrives(t *testing.T) {
--- a/internal/replica/listing.go
+++ b/internal/replica/listing.go
@@ -18,6 +18,31 @@
 // only grow, while a listing has the last of each key.
 func ListBeside(age time.Duration) time.Duration { return max(changesPatience, listAge-age) }
 
+const (
+	// changesShare is the divisor of the replica's size that gives how much of the changes may
+	// arrive before a listing is taken for shorter.
+	changesShare = 2
+	// arrivingPatience is how much longer changes are waited for that arrive. On a link on which
+	// half of a listing takes longer, no listing would be in time.
+	arrivingPatience = time.Second
+)
+
+// Arrival is what has arrived of changes of the store that are late.
+type Arrival struct {
+	Bytes int           // so far
+	Idle  time.Duration // since the last part
+	Late  time.Duration // since the store might have been listed beside
+}
+
+// MayComeFirst reports whether the changes may be complete before a listing, given the size of the
+// replica in bytes.
+//
+// Guards against short changes that are given up for a listing over a link which many share: the
+// listings of all take as long as it takes until the changes are due again.
+func (a Arrival) MayComeFirst(size int) bool {
+	return a.Bytes > 0 && a.Bytes <= size/changesShare && a.Idle < changesPatience && a.Late < arrivingPatience
+}
+
 // listInterval is the least time between two listings that the store refuses, after it has
 // refused changes. One that refuses all is then called at most twice in place of once.
 const listInterval = MaxReadInterval
--- a/internal/replica/listing_test.go
+++ b/internal/replica/listing_test.go
@@ -41,3 +41,21 @@
 		t.Error("not listed although the last listing was not refused")
 	}
 }
+
+func TestArrivingChangesAreWaitedFor(t *testing.T) {
+	const size = 200_000
+	for name, c := range map[string]struct {
+		arrival Arrival
+		want    bool
+	}{
+		"nothing has arrived":     {Arrival{0, 0, 0}, false},
+		"some has arrived":        {Arrival{1000, 50 * time.Millisecond, 100 * time.Millisecond}, true},
+		"has stopped":             {Arrival{1000, changesPatience, 100 * time.Millisecond}, false},
+		"most of a listing's":     {Arrival{size/changesShare + 1, 0, 100 * time.Millisecond}, false},
+		"takes long all the same": {Arrival{1000, 0, arrivingPatience}, false},
+	} {
+		if got := c.arrival.MayComeFirst(size); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,6 +24,7 @@
 	// of targets that change nothing else.
 	significant func(key string, old, new []byte) bool
 	items       map[string]Item
+	bytes       int // approximate memory use of items
 	log         []Item
 	logBytes    int   // approximate memory use of log
 	maxLogBytes int   // beyond it, the oldest changes are dropped
@@ -78,6 +79,9 @@
 	return number
 }
 
+// Bytes returns the approximate memory use of the items, in bytes.
+func (r *Replica) Bytes() int { return r.bytes }
+
 // LastChange returns the revision of the last significant change.
 func (r *Replica) LastChange() int64 { return r.lastChange }
 
@@ -224,6 +228,10 @@
 		if !known {
 			old = Item{Deleted: true}
 		}
+		r.bytes += sizeOf(i)
+		if known {
+			r.bytes -= sizeOf(old)
+		}
 		r.items[i.Key] = i
 		if i.Revision > position {
 			r.newestAhead = max(r.newestAhead, i.Revision)
@@ -259,6 +267,7 @@
 	r.position.Number = position
 	for k, i := range r.items {
 		if i.Deleted && i.Revision < position-removalRetention {
+			r.bytes -= sizeOf(i)
 			delete(r.items, k)
 		}
 	}
--- a/internal/stall/reader.go
+++ b/internal/stall/reader.go
@@ -14,8 +14,8 @@
 	timer *time.Timer
 	stall time.Duration
 	until time.Time // of the whole transfer, or zero
-	// Progress, if set, is called after bytes have arrived.
-	Progress func()
+	// Progress, if set, is called with the number of bytes that have arrived.
+	Progress func(bytes int)
 }
 
 // NewReader returns a reader of a body that begins now. The timer fires after stall without a
@@ -35,7 +35,7 @@
 	if n > 0 {
 		s.extend()
 		if s.Progress != nil {
-			s.Progress()
+			s.Progress(n)
 		}
 	}
 	return n, err
