edge: arriving changes are waited for only while the bound allows it

A copy older than 2.45 s is listed at once as before, unless it is older than 3 s, when no listing can be in time.

--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -38,6 +38,7 @@
 		startedAt: now,
 		first:     !c.replica.Loaded(),
 		position:  c.replica.Position(),
+		age:       c.replica.Age(now),
 		patience:  replica.ListBeside(c.replica.Age(now)),
 		mayList:   c.listings.May(now),
 		listing:   &c.listing,
--- a/internal/edge/storeread.go
+++ b/internal/edge/storeread.go
@@ -47,6 +47,7 @@
 	startedAt time.Duration
 	first     bool // there is no replica
 	position  revision.Revision
+	age       time.Duration // of the replica when the read began
 	patience  time.Duration // before the store is listed beside the request for changes
 	mayList   bool          // if the store refuses changes or does not answer
 	listing   *listingJob   // may be under way
@@ -136,6 +137,7 @@
 		Bytes: int(c.bytes.Load()),
 		Idle:  now - time.Duration(c.arrivedAt.Load()),
 		Late:  now - r.startedAt - r.patience,
+		Age:   r.age + now - r.startedAt,
 	}
 	return a.MayComeFirst(r.size)
 }
--- a/internal/replica/listing.go
+++ b/internal/replica/listing.go
@@ -25,6 +25,8 @@
 	// arrivingPatience is how much longer changes are waited for that arrive. On a link on which
 	// half of a listing takes longer, no listing would be in time.
 	arrivingPatience = time.Second
+	// applyTime is the time within which a change has to be in force.
+	applyTime = 3 * time.Second
 )
 
 // Arrival is what has arrived of changes of the store that are late.
@@ -32,14 +34,19 @@
 	Bytes int           // so far
 	Idle  time.Duration // since the last part
 	Late  time.Duration // since the store might have been listed beside
+	Age   time.Duration // of the replica
 }
 
 // MayComeFirst reports whether the changes may be complete before a listing, given the size of the
 // replica in bytes.
 //
 // Guards against short changes that are given up for a listing over a link which many share: the
-// listings of all take as long as it takes until the changes are due again.
+// listings of all take as long as it takes until the changes are due again. A replica that the last
+// in order reads is listed at once, as long as that can be in time: only one connection may be slow.
 func (a Arrival) MayComeFirst(size int) bool {
+	if a.Age >= MaxFollowAge && a.Age < applyTime {
+		return false
+	}
 	return a.Bytes > 0 && a.Bytes <= size/changesShare && a.Idle < changesPatience && a.Late < arrivingPatience
 }
 
--- a/internal/replica/listing_test.go
+++ b/internal/replica/listing_test.go
@@ -48,11 +48,13 @@
 		arrival Arrival
 		want    bool
 	}{
-		"nothing has arrived":     {Arrival{0, 0, 0}, false},
-		"some has arrived":        {Arrival{1000, 50 * time.Millisecond, 100 * time.Millisecond}, true},
-		"has stopped":             {Arrival{1000, changesPatience, 100 * time.Millisecond}, false},
-		"most of a listing's":     {Arrival{size/changesShare + 1, 0, 100 * time.Millisecond}, false},
-		"takes long all the same": {Arrival{1000, 0, arrivingPatience}, false},
+		"nothing has arrived":         {Arrival{0, 0, 0, TakeoverAge}, false},
+		"some has arrived":            {Arrival{1000, 50 * time.Millisecond, 100 * time.Millisecond, TakeoverAge}, true},
+		"has stopped":                 {Arrival{1000, changesPatience, 100 * time.Millisecond, TakeoverAge}, false},
+		"most of a listing's":         {Arrival{size/changesShare + 1, 0, 100 * time.Millisecond, TakeoverAge}, false},
+		"takes long all the same":     {Arrival{1000, 0, arrivingPatience, TakeoverAge}, false},
+		"a listing is due":            {Arrival{1000, 0, 100 * time.Millisecond, MaxFollowAge}, false},
+		"no listing would be in time": {Arrival{1000, 0, 100 * time.Millisecond, applyTime}, true},
 	} {
 		if got := c.arrival.MayComeFirst(size); got != c.want {
 			t.Errorf("%s: %v, want %v", name, got, c.want)
