edge: tests check in one place that a version is in force in time

TestReadThatFailsIsNotRepeated and TestBalancersDoNotListOverOneLinkAtOnce had the same lines. The bound, the wait and the messages are unchanged; both pass.

--- a/internal/edge/unreadable_test.go
+++ b/internal/edge/unreadable_test.go
@@ -27,6 +27,21 @@
 	return first + stormVersions - 1
 }
 
+// checkInTime checks that a version, which has just been written, is in force at all balancers in
+// time.
+func (d *deployment) checkInTime(version int) {
+	d.t.Helper()
+	acked := time.Now()
+	for _, b := range d.balancers {
+		d.eventually(20*time.Second, fmt.Sprintf("%s has the last version", b.boot.VM), func() bool {
+			return b.adminStatus(d.t).Version == int64(version)
+		})
+	}
+	if took := time.Since(acked); took > changeBound {
+		d.t.Errorf("the last version was in force everywhere after %v, want at most %v", took, changeBound)
+	}
+}
+
 // paces are ways in which a large response of the store does not arrive, while a listing would.
 var paces = map[string]direct.Pace{
 	"slow link":         {BytesPerSecond: 500_000},
@@ -44,15 +59,7 @@
 			t.Parallel()
 			d := deploy(t, 2)
 			last := d.storm(p)
-			acked := time.Now()
-			for _, b := range d.balancers {
-				d.eventually(20*time.Second, fmt.Sprintf("%s has the last version", b.boot.VM), func() bool {
-					return b.adminStatus(t).Version == int64(last)
-				})
-			}
-			if took := time.Since(acked); took > changeBound {
-				t.Errorf("the last version was in force everywhere after %v, want at most %v", took, changeBound)
-			}
+			d.checkInTime(last)
 		})
 	}
 }
@@ -63,15 +70,7 @@
 	t.Parallel()
 	d := deployWide(t)
 	last := d.storm(direct.Pace{LinkSpeed: 300_000}) // 0.7 s for a listing
-	acked := time.Now()
-	for _, b := range d.balancers {
-		d.eventually(20*time.Second, fmt.Sprintf("%s has the last version", b.boot.VM), func() bool {
-			return b.adminStatus(t).Version == int64(last)
-		})
-	}
-	if took := time.Since(acked); took > changeBound {
-		t.Errorf("the last version was in force everywhere after %v, want at most %v", took, changeBound)
-	}
+	d.checkInTime(last)
 }
 
 // After an outage, short changes arrive over a slow link later than usual. They must not be given up
