router: waiting openings spill when the group's last target stops taking flows

Callers of a data centre whose targets were all drained were refused after their whole admission deadline (5 s) though other data centres had free slots.

Cause: whether an opening goes to another group was decided when it arrived. Those that waited for a slot at the moment of the edit stayed queued where nothing becomes free. A slow machine only makes more openings wait then.

Waiting openings are now spilled at the tick after the view has changed. Those that another group passed on, that were handed over, or that a target may have seen stay: passing them on could go in a circle, or give a caller two SYN-ACKs.

Evidence: TestWaitingOpeningSpills fails without the line in Tick ("actions [], want one to 3").

--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -39,6 +39,9 @@
 // Len returns the number of waiters.
 func (q *Queue) Len() int { return len(q.waiters) }
 
+// Waiters returns the waiters in no certain order. The result is valid until the next change.
+func (q *Queue) Waiters() []Waiter { return q.waiters }
+
 // Push adds w. When the queue is full, an urgent waiter displaces the
 // non-urgent waiter with the latest deadline, which is returned with displaced
 // set. ok is false if w was not added.
--- a/internal/router/group_test.go
+++ b/internal/router/group_test.go
@@ -38,17 +38,26 @@
 	return a.homeKey(hashFlow(caller, testAddress))
 }
 
-// All targets of this group are gone while another group, in another data
-// centre, has some. A new flow must spill there: its opening, retransmissions
-// and later packets all go to one balancer of that data centre.
-func TestFlowSpillsToAnotherGroup(t *testing.T) {
+// otherGroup is a balancer of the data centre annex-b, which is another group.
+var otherGroup = Node{Name: "annex-b-1", Data: netip.MustParseAddrPort("127.12.0.1:6081"), Seed: 5, Serving: true}
+
+// spillingView is the view of a single balancer whose only target takes no new flows, while
+// otherGroup has some that do.
+func spillingView() *View {
 	v := testView(0, 1, 1)
 	svc := v.Services[testService]
 	svc.Targets[0].Eligible = false
 	svc.SpillTo = []string{"annex-b"}
 	v.Services[testService] = svc
-	remote := Node{Name: "annex-b-1", Data: netip.MustParseAddrPort("127.12.0.1:6081"), Seed: 5, Serving: true}
-	v.Remotes = map[string][]Node{"annex-b": {remote}}
+	v.Remotes = map[string][]Node{"annex-b": {otherGroup}}
+	return v
+}
+
+// All targets of this group are gone while another group, in another data
+// centre, has some. A new flow must spill there: its opening, retransmissions
+// and later packets all go to one balancer of that data centre.
+func TestFlowSpillsToAnotherGroup(t *testing.T) {
+	v := spillingView()
 	r := New(Settings{MaxFlows: 1024, AliveInterval: time.Hour})
 	r.SetView(0, v)
 	out := &Output{}
@@ -56,7 +65,7 @@
 	for _, p := range [][]byte{syn(testCaller, testAddress, 1000), syn(testCaller, testAddress, 1000), ack} {
 		fromCaller(r, time.Second, p, out)
 		a := only(t, out, ToPeer)
-		if a.Peer != remote.Data || a.Hop.Flags&geneve.FlagSpilled == 0 {
+		if a.Peer != otherGroup.Data || a.Hop.Flags&geneve.FlagSpilled == 0 {
 			t.Fatalf("sent %+v", a)
 		}
 	}
@@ -78,6 +87,64 @@
 	}
 }
 
+// Guards against openings that were queued when the last target of this group stopped taking
+// flows waiting until their deadline instead of spilling.
+func TestWaitingOpeningSpills(t *testing.T) {
+	r, out := queuedOpening(t)
+	r.SetView(time.Second, spillingView())
+	out.Reset()
+	r.Tick(1010*time.Millisecond, out)
+	a := only(t, out, ToPeer)
+	if seg := parsed(t, a); a.Peer != otherGroup.Data || a.Hop.Flags&geneve.FlagSpilled == 0 || !seg.IsOpening() || seg.Src != testCaller {
+		t.Fatalf("sent %+v", a)
+	}
+	fromCaller(r, 2*time.Second, syn(testCaller, slotAddress, 1000), out)
+	if a := only(t, out, ToPeer); a.Peer != otherGroup.Data {
+		t.Fatalf("a retransmission was sent as %+v", a)
+	}
+	if late := ticks(r, 2*time.Second, 4*time.Second); len(late) != 0 || r.Count(FlowSpilled) != 1 {
+		t.Fatalf("after spilling: %+v, %d flows counted", late, r.Count(FlowSpilled))
+	}
+}
+
+// Guards against a waiting opening that another group passed on being passed to a third group or
+// back.
+func TestWaitingOpeningSpillsOnce(t *testing.T) {
+	r, out := fullRouter(t)
+	hop := geneve.Hop{Kind: geneve.Ask, Count: 1, Flags: geneve.FlagSpilled}
+	out.Reset()
+	r.Handle(time.Second, fabricSource, &geneve.Datagram{VNI: testService, Hop: hop, HasHop: true, Inner: syn(testCaller, slotAddress, 1000)}, out)
+	r.SetView(time.Second, spillingView())
+	r.Tick(1010*time.Millisecond, out)
+	if len(out.Actions) != 0 || r.Count(OpeningQueued) != 1 {
+		t.Fatalf("actions %+v, %d queued", out.Actions, r.Count(OpeningQueued))
+	}
+}
+
+// fullRouter returns the router of a single balancer whose only target has no free slot.
+func fullRouter(t *testing.T) (*Router, *Output) {
+	t.Helper()
+	r, _ := newTestRouter(0, 1, 1)
+	out := &Output{}
+	for port := range uint16(2) {
+		c := netip.AddrPortFrom(testCaller.Addr(), 1000+port)
+		fromCaller(r, time.Second, syn(c, slotAddress, 1000), out)
+		fromTarget(r, time.Second, only(t, out, ToTarget).Target, synAck(c, slotAddress), out)
+	}
+	return r, out
+}
+
+// queuedOpening returns a fullRouter in which the opening of testCaller waits.
+func queuedOpening(t *testing.T) (*Router, *Output) {
+	t.Helper()
+	r, out := fullRouter(t)
+	fromCaller(r, time.Second, syn(testCaller, slotAddress, 1000), out)
+	if len(out.Actions) != 0 || r.Count(OpeningQueued) != 1 {
+		t.Fatalf("actions %+v, %d queued", out.Actions, r.Count(OpeningQueued))
+	}
+	return r, out
+}
+
 // The home of a service's requests leaves just after a request has ended. The
 // request's last packets reach the new home and must not be counted as a slot
 // in use, which nothing would release.
--- a/internal/router/opening.go
+++ b/internal/router/opening.go
@@ -22,6 +22,9 @@
 	sentAt    time.Duration // last time sent to a target, apart from the copy of resent
 	deadline  time.Duration // of admission
 	resent    bool          // sent again to the same target at half of OpenTimeout
+	// maySpill: the opening packet came to this group first and, as far as is known, has not
+	// been sent to a target, whose late SYN-ACK could reach the caller as well.
+	maySpill bool
 }
 
 // exclude keeps the opening away from a target that was tried and will be
@@ -136,6 +139,7 @@
 		addr:     *c.addr,
 		flowHash: c.flowHash,
 		deadline: c.now + wait,
+		maySpill: !c.spilled,
 	}
 	c.r.openings[c.key] = o
 	p.openingCount++
@@ -179,7 +183,7 @@
 	o.tried = append(o.tried, id)
 	o.tries++
 	o.sentAt = now
-	o.resent = false
+	o.resent, o.maySpill = false, false
 	out.sendToTarget(v, id, o.packet)
 }
 
--- a/internal/router/spill.go
+++ b/internal/router/spill.go
@@ -1,8 +1,12 @@
 package router
 
 import (
+	"slices"
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
+	"rosedale.dev/rosedale/internal/balance"
 	"rosedale.dev/rosedale/internal/flow"
 	"rosedale.dev/rosedale/internal/geneve"
 	"rosedale.dev/rosedale/internal/rendezvous"
@@ -13,10 +17,17 @@
 // group's balancers. The caller's packets still arrive here and are passed on
 // by the home, which records only the data centre. mu is held.
 func (c *call) spill() bool {
-	dcs := c.v.Services[c.addr.Service].SpillTo
-	if len(dcs) == 0 || c.spilled {
+	if len(c.v.Services[c.addr.Service].SpillTo) == 0 || c.spilled {
 		return false // a spilled flow is passed on neither to a third group nor back
 	}
+	c.spillOpening()
+	return true
+}
+
+// spillOpening passes the call's opening packet to one of the data centres of SpillTo, of which
+// there is at least one.
+func (c *call) spillOpening() {
+	dcs := c.v.Services[c.addr.Service].SpillTo
 	seeds := make([]uint64, len(dcs))
 	for i, dc := range dcs {
 		seeds[i] = rendezvous.Seed(dc)
@@ -29,7 +40,28 @@
 	}
 	c.r.Increment(FlowSpilled)
 	c.passSpilled(e)
-	return true
+}
+
+// spillWaiting passes the waiters of a service to another group once no target of this one can
+// take flows. Without it, openings that were queued before would wait until their deadlines.
+func (r *Router) spillWaiting(now time.Duration, v *View, service uint32, p *pool, out *Output) {
+	if len(v.Services[service].SpillTo) == 0 {
+		return
+	}
+	for _, w := range slices.Clone(p.Queue.Waiters()) {
+		if o := r.openings[w.Key]; o != nil && o.maySpill {
+			r.spillOne(now, v, &w, o, out)
+		}
+	}
+}
+
+func (r *Router) spillOne(now time.Duration, v *View, w *balance.Waiter, o *opening, out *Output) {
+	c := call{r: r, v: v, now: now, out: out, addr: &o.addr, key: w.Key, keyHash: w.Key.Hash(), flowHash: o.flowHash}
+	if c.seg.Decode(o.packet) != nil {
+		return
+	}
+	r.removeOpening(w.Key, o)
+	c.spillOpening()
 }
 
 // passSpilled sends a caller's packet to a balancer of the group that serves
--- a/internal/router/tick.go
+++ b/internal/router/tick.go
@@ -31,6 +31,7 @@
 	}
 	for n, p := range r.pools {
 		if p.Queue.Len() > 0 {
+			r.spillWaiting(now, v, n, p, out)
 			r.admitWaiting(now, v, n, out)
 		}
 	}
