router: waiting openings are refused at once when their service has lost all targets

Callers whose opening waited for a slot while an operator removed the last target of the service were refused only at their admission deadline (2 to 5 s in the examples); those that came after the edit were refused at once, as no target can become free.

TestWaitingOpeningWithoutTargetsIsRefused failed before ("actions [], want one to 2").

--- a/internal/router/group_test.go
+++ b/internal/router/group_test.go
@@ -121,6 +121,20 @@
 	}
 }
 
+// Guards against waiting openings of a service that has lost its targets being refused only at
+// their deadline.
+func TestWaitingOpeningWithoutTargetsIsRefused(t *testing.T) {
+	r, out := queuedOpening(t)
+	v := testView(0, 1, 1)
+	v.Services[testService] = Service{Name: "catalogue"}
+	r.SetView(time.Second, v)
+	out.Reset()
+	r.Tick(1010*time.Millisecond, out)
+	if seg := parsed(t, only(t, out, ToCaller)); !seg.IsReset() || seg.Dst != testCaller || r.Count(RefuseNoTarget) != 1 {
+		t.Fatalf("the caller got %+v", seg)
+	}
+}
+
 // fullRouter returns the router of a single balancer whose only target has no free slot.
 func fullRouter(t *testing.T) (*Router, *Output) {
 	t.Helper()
--- a/internal/router/tick.go
+++ b/internal/router/tick.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -32,6 +33,7 @@
 	for n, p := range r.pools {
 		if p.Queue.Len() > 0 {
 			r.spillWaiting(now, v, n, p, out)
+			r.refuseUnservable(now, v, n, p, out)
 			r.admitWaiting(now, v, n, out)
 		}
 	}
@@ -52,6 +54,17 @@
 	}
 }
 
+// refuseUnservable refuses the waiters of a service without targets, for which none can become
+// free. If another group has some, those that may not spill wait on, in case a target returns.
+func (r *Router) refuseUnservable(now time.Duration, v *View, service uint32, p *pool, out *Output) {
+	if !p.Empty() || len(v.Services[service].SpillTo) > 0 {
+		return
+	}
+	for _, w := range slices.Clone(p.Queue.Waiters()) {
+		r.refuse(now, w.Key, RefuseNoTarget, out)
+	}
+}
+
 // unansweredOpenings returns the openings that their targets have left
 // unanswered for at least half of OpenTimeout, in a fixed order, so that runs
 // are repeatable.
