store: a shard that is read key by key waits for a change of its names

A store that refuses queries for whole shards at once, and serves single keys, was asked for all keys again and again: seven idle balancers of rosedaled made 5,758 calls a second. Cause: since a refused shard is read key by key, a query for changes that was refused turned into reads of all values, which succeeded, so that the next query followed after 20 ms; before, the failed query led to a growing pause.

The names are now asked for by a query that waits for a change as the refused one would have done, and values are read only if their index has moved.

Evidence: TestReadByKeyWaitsForChange failed before (1 value read, 0 queries that waited).

--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -11,9 +11,7 @@
 	"flag"
 	"io"
 	"net/http"
-	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -43,6 +41,9 @@
 	Down        bool          `json:"down"`        // answer every call with 503
 	Delay       time.Duration `json:"delay"`       // time that each call waits before it is handled, in ns
 	LoseAnswers int           `json:"loseAnswers"` // number of further writes and deletions of keys whose answers are lost
+	// RefuseListings: answer reads of all keys below a prefix with 503. Their names, and single
+	// keys, are still read.
+	RefuseListings bool `json:"refuseListings"`
 }
 
 // Store holds the keys, sessions, faults and call counters.
@@ -127,87 +128,6 @@
 	s.changed = make(chan struct{})
 }
 
-// getKeys answers a read of a key or, with recurse, of a prefix. With an index it is a
-// blocking query, which returns when the index has passed the given one.
-func (s *Store) getKeys(w http.ResponseWriter, r *http.Request) {
-	key := r.PathValue("key")
-	q := r.URL.Query()
-	_, recurse := q["recurse"]
-	after, _ := strconv.ParseUint(q.Get("index"), 10, 64)
-	s.mu.Lock()
-	if after > 0 {
-		s.Watches++
-		s.waitForChange(r, key, after, q.Get("wait"))
-	} else {
-		s.Reads++
-	}
-	var out []pair
-	for k, p := range s.pairs {
-		if k == key || recurse && strings.HasPrefix(k, key) {
-			out = append(out, *p)
-		}
-	}
-	index, down := s.prefixIndex(key), s.faults.Down
-	s.mu.Unlock()
-	if down {
-		http.Error(w, "unavailable", http.StatusServiceUnavailable)
-		return
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
-	w.Header().Set("Content-Type", "application/json")
-	if len(out) == 0 {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	_ = json.NewEncoder(w).Encode(out)
-}
-
-// prefixIndex returns the index of the last change of keys with a prefix. As in Consul,
-// it is the store's index if there was none. s.mu is held.
-func (s *Store) prefixIndex(prefix string) uint64 {
-	last := uint64(0)
-	for k, p := range s.pairs {
-		if strings.HasPrefix(k, prefix) {
-			last = max(last, p.ModifyIndex)
-		}
-	}
-	for k, i := range s.deleted {
-		if strings.HasPrefix(k, prefix) {
-			last = max(last, i)
-		}
-	}
-	if last == 0 {
-		return s.index
-	}
-	return last
-}
-
-// waitForChange waits until the prefix's index passes after, the store is down, the wait
-// has passed or the client is gone. If wait is missing, invalid or above 10 minutes, 5
-// minutes apply. s.mu is held before and after, but not while it waits.
-func (s *Store) waitForChange(r *http.Request, prefix string, after uint64, wait string) {
-	d, err := time.ParseDuration(wait)
-	if err != nil || d <= 0 || d > 10*time.Minute {
-		d = 5 * time.Minute
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	for s.prefixIndex(prefix) <= after && !s.faults.Down {
-		ch := s.changed
-		s.mu.Unlock()
-		select {
-		case <-ch:
-			s.mu.Lock()
-			continue
-		case <-t.C:
-		case <-r.Context().Done():
-		}
-		s.mu.Lock()
-		return
-	}
-}
-
 func (s *Store) putKey(w http.ResponseWriter, r *http.Request) {
 	b, err := io.ReadAll(io.LimitReader(r.Body, maxValueSize+1))
 	if err != nil || len(b) > maxValueSize {
--- a/internal/store/bykey.go
+++ b/internal/store/bykey.go
@@ -40,17 +40,20 @@
 	p.byPrefix[prefix] = l
 }
 
-// listByKey reads the names of the keys below a prefix, and then each value by itself. If a read
-// fails, the next call goes on with the keys that are missing. The listing's index is that of the
-// names at the first attempt, so that a query for changes since shows those of values read before.
+// listByKey reads the names of the keys below a prefix, and then each value by itself, unless none
+// has changed since the index after; then the listing is empty. q holds the parameters of a blocking
+// query, which the one for the names is as well. If a read fails, the next call goes on with the keys
+// that are missing. The listing's index is that of the names at the first attempt, so that a query
+// for changes since shows those of values read before.
 //
 // Guards against a listing that does not arrive whole, as it exceeds maxBody, is refused or its
 // connection ends: the same listing would be asked for again and again.
-func (c *Consul) listByKey(ctx context.Context, prefix string) (Listing, error) {
+func (c *Consul) listByKey(ctx context.Context, prefix string, after uint64, q url.Values) (Listing, error) {
 	var names []string
-	index, err := c.read(ctx, prefix, url.Values{"keys": {""}}, &names)
-	if err != nil {
-		return Listing{}, err
+	q.Set("keys", "")
+	index, err := c.read(ctx, prefix, q, &names)
+	if err != nil || after > 0 && index == after {
+		return Listing{Index: index}, err
 	}
 	part := c.partial.take(prefix, index)
 	for _, name := range names {
--- a/internal/store/consul.go
+++ b/internal/store/consul.go
@@ -121,7 +121,8 @@
 	l, err := c.list(ctx, prefix, q)
 	var undelivered *undeliveredError
 	if errors.As(err, &undelivered) && ctx.Err() == nil {
-		return c.listByKey(ctx, prefix)
+		q.Del("recurse")
+		return c.listByKey(ctx, prefix, after, q)
 	}
 	return l, err
 }
--- a/internal/store/slow_test.go
+++ b/internal/store/slow_test.go
@@ -122,3 +122,30 @@
 		t.Errorf("index %d, want that of the first names, so that changes since are read", l.Index)
 	}
 }
+
+// Guards against a store that refuses blocking queries for a shard at once being asked for all its
+// keys, one by one, again and again while nothing changes.
+func TestReadByKeyWaitsForChange(t *testing.T) {
+	t.Parallel()
+	var reads, waits atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Consul-Index", "7")
+		switch q := r.URL.Query(); {
+		case q.Has("recurse"):
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case q.Has("keys"):
+			if q.Get("index") == "7" && q.Get("wait") != "" {
+				waits.Add(1)
+			}
+			_, _ = w.Write([]byte(`["p/a"]`))
+		default:
+			reads.Add(1)
+			_, _ = w.Write([]byte(`[{"Key":"p/a","Value":"eA==","ModifyIndex":6}]`))
+		}
+	}))
+	defer s.Close()
+	l, err := store.NewConsul(s.URL, "").List(context.Background(), "p/", 7)
+	if err != nil || l.Index != 7 || reads.Load() != 0 || waits.Load() != 1 {
+		t.Errorf("listing %+v, %v; %d values were read, and %d queries waited for a change; want 0 and 1", l, err, reads.Load(), waits.Load())
+	}
+}
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -6,6 +6,7 @@
 
 	"rosedale.dev/rosedale/internal/experiment"
 	"rosedale.dev/rosedale/internal/standin/faultproxy"
+	"rosedale.dev/rosedale/internal/standin/platform"
 	"rosedale.dev/rosedale/internal/testbed"
 )
 
@@ -37,6 +38,41 @@
 	}
 }
 
+// maxStoreCalls bounds the calls a second of all balancers while the store refuses listings. It is
+// four times what they make with a healthy store.
+const maxStoreCalls = 60
+
+// Guards against a balancer that asks for the same listing again and again while the store refuses
+// it, and serves single keys: edits have to be in force, a balancer that starts has to get ready,
+// and the store must not be asked without pause.
+func TestStoreThatRefusesListings(t *testing.T) {
+	sc := experiment.ScenarioByName("steady", 12*time.Second)
+	sc.Act = func(bed *testbed.Bed, o *experiment.Outcome) error {
+		if err := bed.SetStore(platform.Faults{RefuseListings: true}); err != nil {
+			return err
+		}
+		svc := bed.Service(bed.Services[0].Name)
+		svc.Limits.Connections += 7
+		if err := experiment.Edit(bed, svc, o); err != nil {
+			return err
+		}
+		return bed.Replace(bed.Balancers[1])
+	}
+	o, err := experiment.RunScenario(sc, experiment.Options{Deployment: "kavango", Policy: "bounded", Streams: 50})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range o.Violations(true) {
+		t.Error(v)
+	}
+	if o.StoreRPS > maxStoreCalls {
+		t.Errorf("%.0f store calls a second, want at most %d", o.StoreRPS, maxStoreCalls)
+	}
+	if p := o.Percentile(1); len(o.InForce) != 7 || p > time.Second {
+		t.Errorf("the change is in force at %d balancers, at the last after %v", len(o.InForce), p)
+	}
+}
+
 // storeErrors returns the sum of all balancers' store errors.
 func storeErrors(t *testing.T, bed *testbed.Bed) float64 {
 	t.Helper()
