router: an opening is not refused while a target that was not tried has room

A caller was refused after 1.2 ms while balancers were replaced one by one at half of the slots' use.

Cause: a balancer that has just become home does not know all slots in use. The opening was sent to four targets that were full, and MaxTries ended it, though half of the slots were free.

MaxTries now ends an opening only if no target that it has not tried has room.

Evidence: TestRefusedOpeningReachesTheFreeTarget and TestOpeningThatAllTargetsRefuseEnds failed before (reset to the caller after four of five targets).

--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -90,6 +90,11 @@
 	return packet.Build(to, from, 5000, 1001, header.TCPFlagSyn|header.TCPFlagAck, nil)
 }
 
+// refusal returns the reset by which a target refuses syn(from, to, 1000).
+func refusal(from, to netip.AddrPort) []byte {
+	return packet.Build(to, from, 0, 1001, header.TCPFlagRst|header.TCPFlagAck, nil)
+}
+
 // open opens a flow through r as its home, regardless of the view, and returns
 // its target.
 func open(r *Router, v *View, now time.Duration, caller netip.AddrPort, out *Output) netip.Addr {
--- a/internal/router/refusal_test.go
+++ b/internal/router/refusal_test.go
@@ -46,6 +46,38 @@
 	}
 }
 
+// Guards against an opening being refused while a target has a free slot, as a balancer that has
+// just become home first tries several whose slots are in use.
+func TestRefusedOpeningReachesTheFreeTarget(t *testing.T) {
+	const full = 5 // more than MaxTries
+	r, _ := newTestRouter(0, 1, full+1)
+	out := &Output{}
+	fromCaller(r, time.Second, syn(testCaller, slotAddress, 1000), out)
+	tried := map[netip.Addr]bool{}
+	for range full {
+		target := only(t, out, ToTarget).Target
+		tried[target] = true
+		fromTarget(r, time.Second, target, refusal(testCaller, slotAddress), out)
+	}
+	if last := only(t, out, ToTarget).Target; tried[last] || len(tried) != full {
+		t.Fatalf("%d targets were tried, the last one %v", len(tried), last)
+	}
+}
+
+// Guards against an opening that all targets refuse being sent to them again and again.
+func TestOpeningThatAllTargetsRefuseEnds(t *testing.T) {
+	const targets = 5 // more than MaxTries
+	r, _ := newTestRouter(0, 1, targets)
+	out := &Output{}
+	fromCaller(r, time.Second, syn(testCaller, slotAddress, 1000), out)
+	for range targets {
+		fromTarget(r, time.Second, only(t, out, ToTarget).Target, refusal(testCaller, slotAddress), out)
+	}
+	if seg := parsed(t, only(t, out, ToCaller)); !seg.IsReset() || r.Count(RefuseRetryLimit) != 1 {
+		t.Fatalf("the caller got %+v", seg)
+	}
+}
+
 // The only target has one request in progress and leaves the next opening
 // unanswered until its deadline. The refusal must release that opening's slot
 // and no other, or the target would get more requests than it has slots.
--- a/internal/router/retry.go
+++ b/internal/router/retry.go
@@ -24,10 +24,14 @@
 // retryRefused retries an opening that its target refused, at another target if
 // one that was not tried has room. If the retry budget is spent, the opening is
 // queued first, so that retries do not multiply the load on full targets. After
-// MaxTries attempts it is refused.
+// MaxTries attempts it is refused, unless there is such a target: a balancer that
+// has just become home does not know the slots in use, and finds several full
+// targets in a row while others have free ones. A target that refuses is not
+// chosen for balance.ShedPause, which bounds the attempts of all openings.
 func (r *Router) retryRefused(now time.Duration, v *View, e *flow.Entry, o *opening, out *Output) {
 	p := r.pools[o.addr.Service]
-	if o.tries >= r.settings.MaxTries {
+	_, other := p.Choose(now, o.addr.Unit(), o.flowHash, o.tried)
+	if !other && o.tries >= r.settings.MaxTries {
 		r.refuse(now, e.Key, RefuseRetryLimit, out)
 		return
 	}
@@ -38,7 +42,7 @@
 		return
 	}
 	r.report(now, RetryShed, e, out)
-	if _, ok := p.Choose(now, o.addr.Unit(), o.flowHash, o.tried); !ok {
+	if !other {
 		// All targets with room were tried. A target that refused keeps no
 		// state of the opening and may be tried again.
 		o.tried = append([]uint32(nil), o.excluded...)
