--- a/internal/standin/direct/settings.go
+++ b/internal/standin/direct/settings.go
@@ -6,6 +6,9 @@
 	"os"
 )
 
+// MemoryMB is the memory of a balancer's VM.
+const MemoryMB = 100
+
 // Settings holds what the platform writes into a balancer's settings file.
 type Settings struct {
 	VM         string // name of the balancer's VM
@@ -25,7 +28,7 @@
 		"nodeName": s.VM, "zone": s.DataCenter, "bootstrap": s.Bootstrap,
 		"listen": map[string]any{"datagramAddr": s.Data, "readyAddr": s.Ready, "control": s.Control},
 		"seeds":  append([]netip.AddrPort{}, s.Seeds...), "heartbeatIntervalMs": 1000,
-		"limits":   map[string]any{"memoryMb": 100, "linkMbps": 1000},
+		"limits":   map[string]any{"memoryMb": MemoryMB, "linkMbps": 1000},
 		"bounds":   map[string]any{"drainMs": 3000, "graceS": s.GraceS, "configApplyMs": 3000, "flowMaxS": 60},
 		"platform": map[string]any{"address": s.Store, "ttlMinMs": 1000},
 	})
--- a/test/soak/undelivered_test.go
+++ b/test/soak/undelivered_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"testing"
 	"time"
 
@@ -35,10 +34,7 @@
 func TestChangesThatDoNotArrive(t *testing.T) {
 	runSeeds(t, undeliveredSeeds, func(t *testing.T, block int, seed uint64) {
 		s := newSeries(t, block)
-		for i := range idleRoutes {
-			at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 19, byte(i / 200), byte(i%200 + 1)}), 443)
-			s.idle = append(s.idle, direct.Route{Address: at, Service: serviceOf[previews]})
-		}
+		s.addIdleRoutes(idleRoutes)
 		s.run(seed, s.changePaces, s.storm)
 	})
 }
