--- a/internal/edge/changes.go
+++ b/internal/edge/changes.go
@@ -40,10 +40,8 @@
 // called when parts of the answer arrive.
 func (c *control) requestChanges(ctx context.Context, from netip.AddrPort, after revision.Revision, progressed func()) (*peer.Changes, error) {
 	url := "http://" + from.String() + changesPath + "?after=" + strconv.FormatInt(after.Number, 10) + "&era=" + strconv.FormatInt(after.Era, 10)
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := time.AfterFunc(fetchTimeout, func() { cancel(errNoAnswer) })
-	defer timer.Stop()
+	ctx, timeout := stall.WithTimeout(ctx, fetchTimeout)
+	defer timeout.Stop()
 	ctx, trace := hedge.WithTrace(ctx)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -51,14 +49,14 @@
 	}
 	resp, err := c.fetch.Do(req)
 	if err != nil {
-		return nil, errors.Wrap(trace.Wrap(fetchCause(ctx, err)), "changes")
+		return nil, errors.Wrap(trace.Wrap(fetchCause(timeout, err)), "changes")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body := stall.NewReader(resp.Body, timer, fetchTimeout, 0)
+	body := timeout.NewReader(resp.Body, fetchTimeout, 0)
 	body.Progress = func(int) { progressed() }
 	b, err := io.ReadAll(io.LimitReader(body, maxChanges+1))
 	if err != nil {
-		return nil, errors.Wrapf(trace.Wrap(fetchCause(ctx, err)), "changes from %s: after %d bytes", from, len(b))
+		return nil, errors.Wrapf(trace.Wrap(fetchCause(timeout, err)), "changes from %s: after %d bytes", from, len(b))
 	}
 	if len(b) > maxChanges {
 		return nil, errors.Wrapf(peer.ErrTooLarge, "changes from %s: more than %d bytes", from, maxChanges)
@@ -70,13 +68,10 @@
 	return ch, peer.Decode(b, ch)
 }
 
-// errNoAnswer ends a request of which nothing arrives for fetchTimeout.
-var errNoAnswer = errors.New("deadline exceeded")
-
-// fetchCause returns errNoAnswer if that ended a request, and err otherwise.
-func fetchCause(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), errNoAnswer) {
-		return errNoAnswer
+// fetchCause returns stall.ErrTimeout if that ended a request, and err otherwise.
+func fetchCause(timeout *stall.Timeout, err error) error {
+	if timeout.Ended() {
+		return stall.ErrTimeout
 	}
 	return err
 }
--- a/internal/store/consul.go
+++ b/internal/store/consul.go
@@ -37,9 +37,6 @@
 	maxBody = 64 << 20
 )
 
-// errNoResponse ends a call of which nothing arrives for callTimeout.
-var errNoResponse = errors.New("deadline exceeded")
-
 // ErrTooLarge means that a listing exceeds maxBody.
 var ErrTooLarge = errors.Errorf("response is larger than %d bytes", maxBody)
 
@@ -147,14 +144,12 @@
 
 // read decodes the response to a read, unless there is no such key, and returns its index.
 func (c *Consul) read(ctx context.Context, key string, q url.Values, into any) (uint64, error) {
-	timeout := callTimeout
+	begin := callTimeout
 	if q.Has("index") {
-		timeout += WatchTime + WatchTime/16 // the store adds jitter to the wait
+		begin += WatchTime + WatchTime/16 // the store adds jitter to the wait
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := time.AfterFunc(timeout, func() { cancel(errNoResponse) })
-	defer timer.Stop()
+	ctx, timeout := stall.WithTimeout(ctx, begin)
+	defer timeout.Stop()
 	ctx, trace := hedge.WithTrace(ctx)
 	resp, err := c.call(ctx, http.MethodGet, key, q, nil)
 	if err != nil && trace.Connection().Made {
@@ -173,7 +168,7 @@
 	}
 	// Guards against a listing that takes longer than callTimeout over a slow link: it would be
 	// asked for again as it was, and never arrive.
-	body := &io.LimitedReader{R: stall.NewReader(resp.Body, timer, callTimeout, 0), N: maxBody + 1}
+	body := &io.LimitedReader{R: timeout.NewReader(resp.Body, callTimeout, 0), N: maxBody + 1}
 	if err := json.NewDecoder(body).Decode(into); err != nil {
 		if body.N <= 0 {
 			err = ErrTooLarge
