--- a/internal/edge/arrivals.go
+++ b/internal/edge/arrivals.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -45,8 +44,8 @@
 func (c *control) announceArrival() {
 	switch {
 	case c.fleet.Small():
-		c.sendHeartbeat(c.now(), slices.Concat(c.fleet.Near(), c.fleet.Far()))
+		c.sendHeartbeat(c.now(), c.everyone())
 	case c.fleet.Rank() == 0:
-		c.sendHeartbeat(c.now(), slices.Concat(c.fleet.Near(), c.fleet.Relays()))
+		c.sendHeartbeat(c.now(), c.nearAndRelays())
 	}
 }
--- a/internal/edge/catchup.go
+++ b/internal/edge/catchup.go
@@ -77,6 +77,9 @@
 
 // mayFetch reports whether a request for changes may begin now.
 func (c *control) mayFetch(now time.Duration) bool {
+	if c.copyTooLarge {
+		return false
+	}
 	for id, r := range c.underWay {
 		c.fetches.Progressed(id, time.Duration(r.progress.Load()))
 	}
@@ -93,7 +96,7 @@
 // request under way may still be answered. If one has not been answered in time, the idle
 // connections are closed, as they may be as silent.
 func (c *control) fetchFromAny(ctx context.Context, now time.Duration, sources []source) {
-	if c.copyTooLarge || !c.mayFetch(now) {
+	if !c.mayFetch(now) {
 		return
 	}
 	late := c.fetches.OutOfPatience(now)
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -82,7 +82,6 @@
 	outcomesSent      time.Duration // see sendOutcomesIfDue
 	stepBack          stepback.Decider
 	ticks             int
-	storeLost         bool // the last read of the store failed
 	failedReads       failedReads
 	listings          replica.Listings
 	listing           listingJob // used by the read under way
--- a/internal/edge/heartbeat.go
+++ b/internal/edge/heartbeat.go
@@ -46,7 +46,7 @@
 		return
 	}
 	c.alarmDue, c.alarmSent = false, now
-	c.sendHeartbeat(now, slices.Concat(c.fleet.Near(), c.fleet.Relays()))
+	c.sendHeartbeat(now, c.nearAndRelays())
 }
 
 // sendOutcomesIfDue sends the outcomes of requests to failing targets to the other
@@ -84,7 +84,7 @@
 		c.heartbeat(now)
 		return
 	}
-	c.sendHeartbeat(now, slices.Concat(c.fleet.Near(), c.fleet.Relays()))
+	c.sendHeartbeat(now, c.nearAndRelays())
 }
 
 func (c *control) sendHeartbeat(now time.Duration, to []netip.AddrPort) {
@@ -166,6 +166,15 @@
 	return suspected, dead
 }
 
+// everyone returns all other balancers.
+func (c *control) everyone() []netip.AddrPort { return slices.Concat(c.fleet.Near(), c.fleet.Far()) }
+
+// nearAndRelays returns the balancers of this data centre and the relays of the others, which tell
+// theirs.
+func (c *control) nearAndRelays() []netip.AddrPort {
+	return slices.Concat(c.fleet.Near(), c.fleet.Relays())
+}
+
 // recipients returns the balancers that get a heartbeat in this tick. In a small fleet all
 // balancers send heartbeats to all others. In a large one only readers, and the first
 // balancer in rank of each data centre, send them to their data centre. Readers also send
@@ -173,7 +182,7 @@
 func (c *control) recipients() []netip.AddrPort {
 	if c.fleet.Small() {
 		if c.ticks%farTicks == 0 {
-			return slices.Concat(c.fleet.Near(), c.fleet.Far())
+			return c.everyone()
 		}
 		return c.fleet.Near()
 	}
@@ -181,7 +190,7 @@
 	case c.ticks%wideTicks != 0:
 		return nil
 	case c.reader.Reading():
-		return slices.Concat(c.fleet.Near(), c.fleet.Relays())
+		return c.nearAndRelays()
 	case c.fleet.Rank() == 0:
 		return c.fleet.Near()
 	}
--- a/internal/edge/readlog.go
+++ b/internal/edge/readlog.go
@@ -12,7 +12,7 @@
 // stayed at a position.
 type failedReads struct {
 	position revision.Revision
-	n        int
+	n        int // 0 if the last read succeeded
 }
 
 // add records a failed read at a position and returns the number of those in a row there.
@@ -24,12 +24,14 @@
 	return f.n
 }
 
+// storeLost reports whether the last read of the store failed.
+func (c *control) storeLost() bool { return c.failedReads.n > 0 }
+
 // noteRead counts and logs the outcome of a read of the store: each failure, and when the store
 // is reachable again.
 func (c *control) noteRead(res readResult) {
 	now := c.now()
-	wasLost := c.storeLost
-	c.storeLost = res.err != nil
+	wasLost := c.storeLost()
 	if res.err == nil {
 		c.edge.readsFailedHere.Store(0)
 		c.failedReads.n = 0
--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -125,7 +125,7 @@
 	c.replica.Replace(nil, at(30), 0)
 	c.reader.Decide(replica.Place{}, 0, false, false)
 	c.handleRead(readResult{full: true, err: errors.New("store: /kv-range: status 503")})
-	if c.reader.Succeeding(0) || !c.storeLost || c.edge.counts.readFailures.Load() != 1 {
-		t.Errorf("reading well %v, store lost %v, %d failures counted", c.reader.Succeeding(0), c.storeLost, c.edge.counts.readFailures.Load())
+	if c.reader.Succeeding(0) || !c.storeLost() || c.edge.counts.readFailures.Load() != 1 {
+		t.Errorf("reading well %v, store lost %v, %d failures counted", c.reader.Succeeding(0), c.storeLost(), c.edge.counts.readFailures.Load())
 	}
 }
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -54,7 +54,7 @@
 	s := Status{
 		VM: c.edge.boot.VM, DataCenter: c.edge.boot.DataCenter, Up: now,
 		Ready: c.edge.ready.isReady(), Leaving: c.leaving, SteppedBack: c.edge.ready.stepBackReason().String(), Version: c.version,
-		Era: c.replica.Position().Era, Position: c.replica.Position().Number, Settling: c.settling.Left(now), Age: c.replica.Age(now), Reading: c.reader.Reading(), StoreLost: c.storeLost,
+		Era: c.replica.Position().Era, Position: c.replica.Position().Number, Settling: c.settling.Left(now), Age: c.replica.Age(now), Reading: c.reader.Reading(), StoreLost: c.storeLost(),
 	}
 	for name, p := range c.peers {
 		s.Peers = append(s.Peers, Peer{name, p.last.DataCenter, now - p.lastReceived, p.last.Version, p.last.Era, p.last.Position, p.last.Reading})
