--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"rosedale.dev/rosedale/internal/flow"
@@ -39,8 +40,8 @@
 // Len returns the number of waiters.
 func (q *Queue) Len() int { return len(q.waiters) }
 
-// Waiters returns the waiters in no certain order. The result is valid until the next change.
-func (q *Queue) Waiters() []Waiter { return q.waiters }
+// Waiters returns a copy of the waiters, in no certain order.
+func (q *Queue) Waiters() []Waiter { return slices.Clone(q.waiters) }
 
 // Push adds w. When the queue is full, an urgent waiter displaces the
 // non-urgent waiter with the latest deadline, which is returned with displaced
--- a/internal/router/opening.go
+++ b/internal/router/opening.go
@@ -106,7 +106,7 @@
 	case c.addr.Withdrawn || p == nil:
 		c.refuseNow(RefuseWithdrawn)
 		return
-	case p.Empty() && len(c.v.Services[c.addr.Service].SpillTo) == 0:
+	case p.isUnservable(c.v, c.addr.Service):
 		c.refuseNow(RefuseNoTarget) // no target can become free
 		return
 	case c.seg.PayloadLen > 0:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -94,6 +94,10 @@
 	probeRefilledAt time.Duration
 }
 
+// isUnservable reports whether the service has no targets, so that none can become free, and no
+// other group has any.
+func (p *pool) isUnservable(v *View, service uint32) bool { return p.Empty() && !v.canSpill(service) }
+
 // Alive records that the control loop is running. If the last call was more
 // than AliveInterval ago, this process may have been paused and replaced by its
 // peers; it then leaves decisions on flows to peers, if there are any.
--- a/internal/router/spill.go
+++ b/internal/router/spill.go
@@ -13,7 +13,7 @@
 // group's balancers. The caller's packets still arrive here and are passed on
 // by the home, which records only the data centre. mu is held.
 func (c *call) spill() bool {
-	if len(c.v.Services[c.addr.Service].SpillTo) == 0 || c.spilled {
+	if c.spilled || !c.v.canSpill(c.addr.Service) {
 		return false // a spilled flow is passed on neither to a third group nor back
 	}
 	c.spillOpening()
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -73,6 +73,9 @@
 	SpillTo []string
 }
 
+// canSpill reports whether new flows of a service are to go to another group.
+func (v *View) canSpill(service uint32) bool { return len(v.Services[service].SpillTo) > 0 }
+
 // TargetKey identifies a target. The same address with another service's
 // number is another target, so that its packets never carry the wrong VNI.
 type TargetKey struct {
--- a/internal/router/waiting.go
+++ b/internal/router/waiting.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"slices"
 	"time"
 
 	"rosedale.dev/rosedale/internal/balance"
@@ -98,10 +97,10 @@
 // refuseUnservable refuses the waiters of a service without targets, for which none can become
 // free. If another group has some, those that may not spill wait on, in case a target returns.
 func (r *Router) refuseUnservable(now time.Duration, v *View, service uint32, p *pool, out *Output) {
-	if !p.Empty() || len(v.Services[service].SpillTo) > 0 {
+	if !p.isUnservable(v, service) {
 		return
 	}
-	for _, w := range slices.Clone(p.Queue.Waiters()) {
+	for _, w := range p.Queue.Waiters() {
 		r.refuse(now, w.Key, RefuseNoTarget, out)
 	}
 }
@@ -109,21 +108,21 @@
 // spillWaiting passes the waiters of a service to another group once no target of this one can
 // take flows. Without it, openings that were queued before would wait until their deadlines.
 func (r *Router) spillWaiting(now time.Duration, v *View, service uint32, p *pool, out *Output) {
-	if len(v.Services[service].SpillTo) == 0 {
+	if !v.canSpill(service) {
 		return
 	}
-	for _, w := range slices.Clone(p.Queue.Waiters()) {
+	for _, w := range p.Queue.Waiters() {
 		if o := r.openings[w.Key]; o != nil && o.maySpill {
-			r.spillOne(now, v, &w, o, out)
+			r.spillOne(now, v, w.Key, o, out)
 		}
 	}
 }
 
-func (r *Router) spillOne(now time.Duration, v *View, w *balance.Waiter, o *opening, out *Output) {
-	c := call{r: r, v: v, now: now, out: out, addr: &o.addr, key: w.Key, keyHash: w.Key.Hash(), flowHash: o.flowHash}
+func (r *Router) spillOne(now time.Duration, v *View, k flow.Key, o *opening, out *Output) {
+	c := call{r: r, v: v, now: now, out: out, addr: &o.addr, key: k, keyHash: k.Hash(), flowHash: o.flowHash}
 	if c.seg.Decode(o.packet) != nil {
 		return
 	}
-	r.removeOpening(w.Key, o)
+	r.removeOpening(k, o)
 	c.spillOpening()
 }
