--- a/review/4/driver/main.go
+++ b/review/4/driver/main.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	apply = 3 * time.Second // configApplyMs
+	apply = 3 * time.Second // within which a version has to be in force
 	// watched is how long after the change the machines are probed.
 	watched = 9 * time.Second
 	work    = "20ms"
--- a/review/rig2/deployment.go
+++ b/review/rig2/deployment.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/netip"
@@ -28,7 +27,6 @@
 type Bounds struct {
 	DrainMS, ConfigMS int
 	HeartbeatMS       int
-	More              map[string]any // further bounds
 }
 
 // Deployment is a small installation with its routers, store and balancers.
@@ -47,13 +45,14 @@
 
 // Balancer is one process of the system.
 type Balancer struct {
-	Name string
-	Data netip.AddrPort // receives requesters' packets
-	Door *Door          // at which it calls the store
-	file string
-	log  *os.File
-	cmd  *exec.Cmd
-	done chan struct{}
+	Name     string
+	Data     netip.AddrPort // receives requesters' packets
+	Door     *Door          // at which it calls the store
+	file     string
+	settings settings
+	log      *os.File
+	cmd      *exec.Cmd
+	done     chan struct{}
 }
 
 // NewDeployment starts a store and routers. Logs of the balancers go to a temporary folder.
@@ -140,45 +139,34 @@
 func (d *Deployment) configure(b *Balancer, z, i int, seeds []string) error {
 	ip := d.Addr(balancerGroup+z, i+1)
 	at := func(port uint16) string { return netip.AddrPortFrom(ip, port).String() }
-	regions := map[string]string{}
-	for _, name := range d.zones {
-		regions[name] = "area"
-	}
-	bounds := map[string]any{"seedLagS": 3, "reuseDelayS": 2, "stabilityWindowMs": 4000, "ackMs": 5000, "catchUpS": 4,
-		"drainMs": d.bounds.DrainMS, "graceS": 6, "lossSlackMs": 200, "configApplyMs": d.bounds.ConfigMS,
-		"rollbackSlackMs": 250, "maxStretchMs": 12000, "recoveryS": 12, "flowMs": 2000, "flowMaxS": 60}
-	for k, v := range d.bounds.More {
-		bounds[k] = v
-	}
-	text, err := json.MarshalIndent(map[string]any{
-		"nodeName": b.Name, "role": "balancer", "machineClass": "front", "serves": []string{"front", "control"},
-		"ip": ip.String(), "zone": d.zones[z], "region": "area", "zones": regions,
-		"listen":    map[string]any{"datagramAddr": at(DataPort), "readyAddr": at(readyPort), "control": at(controlPort)},
-		"portRange": []int{7720, 7735}, "seeds": seeds, "bootstrap": true, "inTolerance": false,
-		"limits":  map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
-		"dataDir": nil, "discovery": "platform", "entry": "announce", "heartbeatIntervalMs": d.bounds.HeartbeatMS,
-		"contracts":      []string{"base", "drain", "config", "cost", "recover", "flows", "platform"},
-		"faultTolerance": map[string]any{"machines": 1, "zones": 1, "regions": 0}, "bounds": bounds,
-		"hash": "steady", "forwardingMode": "echo",
-		"platform": map[string]any{"address": b.Door.Addr.String(), "forwardingMode": "kv", "writesPerS": 400, "readsPerS": 2000,
-			"historyS": 20, "valueBytes": 1048576, "ttlMinMs": 1000},
-	}, "", "  ")
-	if err != nil {
-		return err
+	b.settings = settings{
+		Name: b.Name, IP: ip.String(), Zone: d.zones[z], Zones: d.zones, Seeds: seeds,
+		Data: at(DataPort), Ready: at(readyPort), Control: at(controlPort), Store: b.Door.Addr.String(),
+		Bootstrap: true, HeartbeatMS: d.bounds.HeartbeatMS, DrainMS: d.bounds.DrainMS, ConfigMS: d.bounds.ConfigMS,
 	}
+	var err error
 	b.file = filepath.Join(d.dir, b.Name+".json")
 	if b.log, err = os.Create(filepath.Join(d.dir, b.Name+".log")); err != nil {
 		return err
 	}
 	b.Data = netip.AddrPortFrom(ip, DataPort)
 	d.Router.add(d.zones[z], b.Data, netip.MustParseAddrPort(at(readyPort)))
-	return os.WriteFile(b.file, text, 0o600)
+	return b.writeSettings()
+}
+
+// writeSettings writes the settings file.
+func (b *Balancer) writeSettings() error {
+	var text bytes.Buffer
+	if err := bootTemplate.Execute(&text, b.settings); err != nil {
+		return err
+	}
+	return os.WriteFile(b.file, text.Bytes(), 0o600)
 }
 
 // Start starts a balancer's process.
 func (d *Deployment) Start(b *Balancer) error {
 	cmd := exec.Command(Program)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "ROSEDALE_BOOT=" + b.file}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), names.BootVariable + "=" + b.file}
 	cmd.Stdout, cmd.Stderr = b.log, b.log
 	if err := cmd.Start(); err != nil {
 		return err
@@ -207,12 +195,8 @@
 		<-b.done
 	}
 	d.Record.Add("%s has ended", b.Name)
-	text, err := os.ReadFile(b.file)
-	if err != nil {
-		return err
-	}
-	text = bytes.Replace(text, []byte(`"bootstrap": true`), []byte(`"bootstrap": false`), 1)
-	if err := os.WriteFile(b.file, text, 0o600); err != nil {
+	b.settings.Bootstrap = false
+	if err := b.writeSettings(); err != nil {
 		return err
 	}
 	return d.Start(b)
@@ -275,6 +259,6 @@
 		}
 		ss = append(ss, x)
 	}
-	d.Store.Put("op/config", map[string]any{"version": version, "routes": rs, "services": ss,
+	d.Store.Put(names.Config, map[string]any{"version": version, "routes": rs, "services": ss,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
 }
--- a/review/rig2/endpoint.go
+++ b/review/rig2/endpoint.go
@@ -11,17 +11,8 @@
 	"time"
 )
 
-// entry is what an endpoint writes into the store.
-type entry struct {
-	Service  string `json:"service"`
-	Address  string `json:"address"`
-	Zone     string `json:"zone"`
-	Version  string `json:"version"`
-	Slots    int    `json:"slots"`
-	State    string `json:"state"`
-	ColdLeft int64  `json:"coldLeftMs"`
-	Sequence int    `json:"sequence"`
-}
+// entry is what an endpoint writes into the store, by field.
+type entry map[string]any
 
 // Endpoint serves requests that come in flows. A request is a text whose last word says how long
 // the work takes, such as "note-7 52ms"; the answer is the text with the endpoint's name.
@@ -41,6 +32,7 @@
 
 	mu        sync.Mutex
 	entry     entry
+	sequence  int
 	coldUntil time.Time
 	leaving   bool
 	listening bool
@@ -78,7 +70,7 @@
 		ID: id, Name: fmt.Sprintf("i-%010x", id), record: r, store: s, replies: replies,
 		udp: udp, tcp: tcp, slots: make(chan struct{}, slots), done: make(chan struct{}), listening: true,
 		flows: map[[2]netip.AddrPort]*served{}, nextISN: 1_000_000 * uint32(id%1000+1),
-		entry: entry{Service: service, Address: udp.LocalAddr().String(), Zone: zone, Version: "v1", Slots: slots, State: "ready"},
+		entry: entry{"service": service, "address": udp.LocalAddr().String(), "zone": zone, "version": "v1", "slots": slots, "state": "ready"},
 	}
 	e.write()
 	srv := &http.Server{Handler: http.HandlerFunc(e.health), ReadHeaderTimeout: time.Second}
@@ -92,9 +84,10 @@
 func (e *Endpoint) write() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.entry.Sequence++
-	e.entry.ColdLeft = max(time.Until(e.coldUntil).Milliseconds(), 0)
-	e.store.Put("servers/"+e.Name, e.entry)
+	e.sequence++
+	e.entry["sequence"] = e.sequence
+	e.entry[names.ColdLeft] = max(time.Until(e.coldUntil).Milliseconds(), 0)
+	e.store.Put(names.Endpoints+e.Name, e.entry)
 }
 
 func (e *Endpoint) beat(every time.Duration) {
@@ -122,7 +115,7 @@
 func (e *Endpoint) Drain() {
 	e.mu.Lock()
 	e.leaving = true
-	e.entry.State = "draining"
+	e.entry["state"] = "draining"
 	e.mu.Unlock()
 	e.write()
 	e.record.Add("%s draining: acknowledged by the store", e.Name)
@@ -140,7 +133,7 @@
 	close(e.done)
 	time.Sleep(50 * time.Millisecond) // for the last acknowledgements
 	_ = e.udp.Close()
-	e.store.Remove("servers/" + e.Name)
+	e.store.Remove(names.Endpoints + e.Name)
 	e.record.Add("%s has left", e.Name)
 }
 
@@ -158,7 +151,7 @@
 	e.slots <- struct{}{}
 	time.Sleep(time.Millisecond)
 	<-e.slots
-	w.Header().Set("Endpoint-Id", e.Name)
+	w.Header().Set(names.EndpointHeader, e.Name)
 	if leaving {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
