--- a/review/4/driver/main.go
+++ b/review/4/driver/main.go
@@ -21,9 +21,9 @@
 )
 
 var (
-	kept    = netip.MustParseAddrPort("198.18.0.1:443")
-	dropped = netip.MustParseAddrPort("198.18.0.2:443")
-	added   = netip.MustParseAddrPort("198.18.0.3:443")
+	kept    = netip.MustParseAddrPort("127.198.0.1:443")
+	dropped = netip.MustParseAddrPort("127.198.0.2:443")
+	added   = netip.MustParseAddrPort("127.198.0.3:443")
 )
 
 var zones = []string{"a", "b", "c"}
--- a/review/5/driver/main.go
+++ b/review/5/driver/main.go
@@ -28,7 +28,7 @@
 	paused = 3
 )
 
-var desk = netip.MustParseAddrPort("198.18.0.1:443")
+var desk = netip.MustParseAddrPort("127.198.0.1:443")
 
 var zones = []string{"a", "b", "c"}
 
--- a/review/rig2/deployment.go
+++ b/review/rig2/deployment.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -41,6 +44,36 @@
 	bounds    Bounds
 	zones     []string
 	balancers []*Balancer
+
+	mu        sync.Mutex
+	processes []*os.Process // all that were started
+	ended     bool          // no more are started
+}
+
+// maxLength is how long a play may take. The processes are ended then, and the case could not run.
+const maxLength = 110 * time.Second
+
+// endEarly ends all processes if the play takes too long or is to be stopped.
+func (d *Deployment) endEarly() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-stop:
+	case <-time.After(maxLength):
+	}
+	d.endProcesses()
+	_ = os.RemoveAll(d.dir)
+	os.Exit(2)
+}
+
+// endProcesses ends all processes that were started.
+func (d *Deployment) endProcesses() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended = true
+	for _, p := range d.processes {
+		_ = p.Kill() // most have ended before
+	}
 }
 
 // Balancer is one process of the system.
@@ -67,6 +100,7 @@
 	}
 	d.Store = NewStore()
 	d.Router = NewRouter()
+	go d.endEarly()
 	return d, nil
 }
 
@@ -168,9 +202,15 @@
 	cmd := exec.Command(Program)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), names.BootVariable + "=" + b.file}
 	cmd.Stdout, cmd.Stderr = b.log, b.log
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ended {
+		return errors.New("the play has ended")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	d.processes = append(d.processes, cmd.Process)
 	b.cmd, b.done = cmd, make(chan struct{})
 	go func(done chan struct{}) {
 		_ = cmd.Wait()
@@ -210,9 +250,9 @@
 
 // Close ends all processes and the stand-ins.
 func (d *Deployment) Close() {
+	d.endProcesses()
 	for _, b := range d.balancers {
 		if b.cmd != nil {
-			_ = b.cmd.Process.Kill()
 			<-b.done
 		}
 	}
