direct: a leaving target has ended when its registration is gone, not when it refuses connections

Cause: hasEnded took a refused check of a draining target for its end if a caller had retransmitted and the target had shown no life for CheckTimeout. The silence was counted from its last sign of life on any flow, so that after a pause the first retransmission was enough. So no timeout tells work from an end.

Now a refused check of a leaving target resets nothing, also if the target had been silent before, nor do peers hear of it. Its end is known when its registration is removed, or when another target answers at its address (finding AddressReused, which was Gone). With the removal its open flows are reset at once, waiting and idle ones, in place of at the caller's next retransmission, up to 1.6 s later. While it refuses it is checked once a second, not every 50 ms.

Checks and their findings move to check.go; suspect.go keeps the evidence that leads to them.

--- a/internal/direct/dead.go
+++ b/internal/direct/dead.go
@@ -43,7 +43,7 @@
 // reset. If the target is only unreachable from here, a non-idempotent request may have
 // reached it, and the answer goes straight to the caller and may still arrive.
 func (f *Forwarder) canResetPending(t *target, k FlowKey) bool {
-	return t.finding == Gone || f.mayRepeat(k)
+	return t.gone() || f.mayRepeat(k)
 }
 
 // PeerFoundDead handles the report of another balancer that a target does not answer checks
--- a/internal/direct/ended.go
+++ b/internal/direct/ended.go
@@ -26,3 +26,25 @@
 	}
 	return 0, false
 }
+
+// resetLeft returns the flows to reset at once because their target has left: of callers that wait
+// for an answer, and idle ones, whose next request would be lost (see markDead). If the target
+// showed life just now, they are kept until their next packet; see resetReason.
+func (f *Forwarder) resetLeft(now time.Duration, t *target) []Segment {
+	if t.flows == 0 || now-t.lastAlive <= minSilence {
+		return nil
+	}
+	var out []Segment
+	for _, fl := range f.flowsOf(t) {
+		if !fl.open || fl.ended {
+			continue
+		}
+		out = append(out, fl.segment())
+		if fl.held != nil {
+			f.cancelHeld(fl.key, fl.held)
+		}
+		f.closeFlow(fl) // it stays in the table, so that further packets of it are reset as well
+	}
+	f.counts[ResetGone] += uint64(len(out))
+	return out
+}
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -70,6 +70,18 @@
 	return id
 }
 
+// openFlowTo opens a flow at one target.
+func (b *fixture) openFlowTo(port uint16, to netip.AddrPort, id TargetID) {
+	b.t.Helper()
+	for range 100 {
+		if b.openFlow(port, to) == id {
+			return
+		}
+		b.f.forget(packet(port, to, 0, 0).Flow())
+	}
+	b.t.Fatalf("no flow was opened at %v", id)
+}
+
 // sendRequest sends a request of 300 bytes on an open flow.
 func (b *fixture) sendRequest(port uint16, to netip.AddrPort, id TargetID, seq, ack uint32) Decision {
 	s := packet(port, to, ACK, id.Cookie())
--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -20,8 +20,7 @@
 	// lifePause is that time while openings wait for places that a sign of life would give back:
 	// half of a goal of 0.5 s.
 	lifePause = 250 * time.Millisecond
-	// confirmPause is that time after a first failed check, because the second one decides, and
-	// as long as a target is found gone but is not marked dead.
+	// confirmPause is that time after a first failed check, because the second one decides.
 	confirmPause = 50 * time.Millisecond
 	// confirmChecks is the number of consecutive unanswered checks after which a target may
 	// be marked dead.
@@ -113,7 +112,7 @@
 	switch {
 	case t.dead && t.checkWanted:
 		pause = recheckPause
-	case t.failedChecks == 1 || t.finding == Gone && !t.dead:
+	case t.failedChecks == 1:
 		pause = confirmPause
 	case t.lifeWanted:
 		pause = lifePause
@@ -124,111 +123,9 @@
 	case t.departed && t.dead:
 		return false
 	}
-	return t.dead || t.checkWanted || t.overdue || t.stalls > 0
+	return t.dead || t.checkWanted || t.overdue || t.stalls > 0 || t.refusesFlows()
 }
 
-// Finding is the result of a check.
-type Finding uint8
-
-// The results of a check. Any answer shows that the target is alive, whatever health it
-// reports, because health answers may be false.
-const (
-	Alive  Finding = iota // an answer arrived, or the check was inconclusive
-	Gone                  // the address refuses connections, or another target listens there
-	Silent                // no connection was set up, possibly due to the path
-	// Restarted means that another start of the target answered.
-	Restarted
-	// Hung means that the connection was accepted, but no answer came for longer than a full
-	// queue takes.
-	Hung
-)
-
-// String returns the name used in logs and status.
-func (x Finding) String() string {
-	return [...]string{"alive", "gone", "silent", "restarted", "hung"}[x]
-}
-
-// unanswered reports whether a check got no answer, which is no evidence against the target
-// while its flows make progress.
-func (x Finding) unanswered() bool { return x == Silent || x == Hung }
-
-// CheckResult holds the consequences of a check.
-type CheckResult struct {
-	// Notify requests that a new suspicion or a dead target be reported to peers.
-	Notify bool
-	// Resets are the flows to reset at once because their target is dead.
-	Resets []Segment
-}
-
-// Checked handles the result of this balancer's check of one start of a target. The result is
-// ignored if the target has started again meanwhile.
-func (f *Forwarder) Checked(now time.Duration, of Start, x Finding) CheckResult {
-	t := f.targets[of.ID]
-	if t == nil || t.Start() != of {
-		return CheckResult{}
-	}
-	if t.checkRunning {
-		t.checkRunning = false
-		f.checksRunning--
-	}
-	if f.takeLinkProbe(t, x) {
-		return CheckResult{}
-	}
-	if x == Alive || x.unanswered() && t.lastAlive > t.checkedAt {
-		t.clearSuspicion()
-		if x == Alive {
-			t.answeredAt = t.checkedAt
-			t.recordLife(now)
-		}
-		return CheckResult{}
-	}
-	if x == Gone && !t.dead && !f.hasEnded(now, t) {
-		// Not counted as a failed check: a draining target refuses connections while it still
-		// answers its last requests.
-		t.finding = Gone
-		return CheckResult{}
-	}
-	f.addSuspect(t)
-	result := CheckResult{Notify: t.finding == Alive && !t.peerSuspected}
-	t.finding = x
-	t.failedChecks++
-	if x == Hung {
-		t.failedChecks = max(t.failedChecks, confirmChecks) // a hung check takes as long as two others
-	}
-	t.suspect(now)
-	switch {
-	case x == Restarted:
-		// The next registration decides which flows are lost.
-	case x == Gone:
-		result.Resets = f.markDead(now, t)
-	case !f.othersAlive(now, t) && !f.ownLinkWorks(now, t):
-		f.probeOwnLink(now, t)
-	case t.failedChecks >= confirmChecks && t.silenceConfirmed():
-		result.Resets = f.markDead(now, t)
-	}
-	if t.dead {
-		t.deadCheckAt = t.checkedAt
-	}
-	result.Notify = result.Notify || len(result.Resets) > 0 && t.callersWaited
-	return result
-}
-
-// hasEnded reports whether a target that refuses connections has ended along with its flows.
-//
-// A target that announced its end closes its listening socket first and then answers the
-// requests it has; treating it as ended would reset flows 10 ms before their answer. If a
-// caller's retransmission stays unacknowledged, the target has probably ended. But with a full
-// queue, callers retransmit before their turn comes, so the target must also have shown no
-// life for as long as the queue takes, however many checks are refused until then.
-func (f *Forwarder) hasEnded(now time.Duration, t *target) bool {
-	return !t.Draining || t.silenceConfirmed() && now-t.lastAlive > f.CheckTimeout(t.Service)
-}
-
-// silenceConfirmed reports whether there is evidence against the target besides failed
-// checks: waiting flows or an expired registration. An unanswered check alone does not
-// suffice, because the health check may hang while the target's flows are served.
-func (t *target) silenceConfirmed() bool { return t.stalls > 0 || t.peerCallersWait || t.departed }
-
 // othersAlive reports whether most other targets of this data centre are alive.
 //
 // If this balancer's own link is congested, as while it loads a large catalogue over
@@ -270,11 +167,12 @@
 	return isNew
 }
 
-// Suspected returns the targets that failed this balancer's latest check of them.
+// Suspected returns the targets that failed this balancer's latest check of them. A target that
+// leaves and refuses connections is not reported, as peers would count that as a failed check.
 func (f *Forwarder) Suspected() []TargetID {
 	var out []TargetID
 	for t := range f.suspects {
-		if t.finding != Alive && !t.departed {
+		if t.finding != Alive && !t.departed && !(t.Draining && t.refuses()) {
 			out = append(out, t.ID)
 		}
 	}
--- a/internal/direct/targetstate.go
+++ b/internal/direct/targetstate.go
@@ -68,7 +68,7 @@
 
 // replaced reports whether the latest check showed that the registered start of the target is
 // not at its address.
-func (t *target) replaced() bool { return t.finding == Gone || t.finding == Restarted }
+func (t *target) replaced() bool { return t.gone() || t.finding == Restarted }
 
 // eligible reports whether new flows may go to the target.
 func (t *target) eligible(now time.Duration) bool {
@@ -117,7 +117,7 @@
 // unsuspected reports whether there is no evidence against the target and no check is running
 // or due.
 func (t *target) unsuspected() bool {
-	return !t.dead && !t.checkWanted && !t.overdue && !t.checkRunning && t.stalls == 0 && t.failedChecks == 0
+	return !t.dead && !t.checkWanted && !t.overdue && !t.checkRunning && t.stalls == 0 && t.failedChecks == 0 && !t.refusesFlows()
 }
 
 // clearSuspicion resets all evidence against the target.
--- a/internal/direct/update.go
+++ b/internal/direct/update.go
@@ -118,26 +118,30 @@
 	f.invalidRegistrations[id.Cookie()] = id
 }
 
-// RemoveTarget records that a registration was removed. If the target had announced that it
-// leaves, it has left and its flows are reset, unless the store was away. Otherwise it may only
-// be cut off from the store: it is checked if it has flows here, or once a packet of one arrives,
-// and the flows are reset if the check fails.
-func (f *Forwarder) RemoveTarget(now time.Duration, id TargetID) {
+// RemoveTarget records that a registration was removed and returns the flows to reset at once.
+// If the target had announced that it leaves, it has left and its flows are reset, unless the
+// store was away. Otherwise it may only be cut off from the store: it is checked if it has flows
+// here, or once a packet of one arrives, and the flows are reset if the check fails.
+func (f *Forwarder) RemoveTarget(now time.Duration, id TargetID) []Segment {
 	if f.invalidRegistrations[id.Cookie()] == id {
 		delete(f.invalidRegistrations, id.Cookie())
 	}
 	x := f.targets[id]
 	if x == nil || x.departed {
-		return
+		return nil
 	}
 	x.departed = true
 	x.endedAt = now
 	x.left = x.Draining && !f.lapses.possible(now, f.listCompleteAt)
 	x.group.massExpiry.stale = true
 	x.expireShares()
+	if x.left {
+		return f.resetLeft(now, x)
+	}
 	if x.uncheckedSinceExpiry() && x.flows > 0 {
 		f.requestCheck(x)
 	}
+	return nil
 }
 
 // Tick runs periodic work: timeouts, scores, spill shares, and the removal of old flows and
--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -142,9 +142,10 @@
 
 func (c *control) removeTarget(now time.Duration, id direct.TargetID, i replica.Item, source string, logged bool) {
 	c.edge.mu.Lock()
-	c.edge.forward.RemoveTarget(now, id)
+	lost := c.edge.forward.RemoveTarget(now, id)
 	c.edge.mu.Unlock()
+	c.resetFlows(now, lost, direct.ResetGone, id)
 	if logged {
-		c.log.Info("target gone", zap.Stringer("target", id), c.revision(i), zap.String("source", source))
+		c.log.Info("target gone", zap.Stringer("target", id), c.revision(i), zap.String("source", source), zap.Int("lostFlows", len(lost)))
 	}
 }
--- a/internal/standin/direct/target.go
+++ b/internal/standin/direct/target.go
@@ -137,6 +137,21 @@
 	_ = t.srv.Close()
 }
 
+// StopListening closes the socket for connections, which are refused from then on. The target
+// goes on working on the requests that it has, as one that exits does.
+func (t *Target) StopListening() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_ = t.tcp.Close()
+	_ = t.srv.Close()
+}
+
+// Leave stops the target and then removes its registration.
+func (t *Target) Leave() {
+	t.Stop()
+	t.store.Remove("servers/" + t.Name())
+}
+
 func (t *Target) health(w http.ResponseWriter, r *http.Request) {
 	if t.silent.Load() {
 		<-r.Context().Done()
