replica: the first copy is as old as its sender says, also if that is before the start

Cause: Replica.store took the later of the known time and the given one as the time at which the replica was last current. Times count from the start of the process, and an empty replica's is 0, so that a copy of any age counted as current at the start. Heartbeats made the replicas of all others as fresh, which waited for TakeoverAge again after each restart.

The first copy now sets the time, also a negative one. A later era starts from an empty replica too, and is served by the same line.

A copy of a copy was checked as well: its sender counts its age when it answers, the receiver from its request, so that ages add up over hops.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -14,9 +14,14 @@
 	removalRetention = 100000
 )
 
-// neverLoaded is the age reported for a replica that was never loaded. It exceeds all
-// limits.
-const neverLoaded = time.Hour
+const (
+	// neverLoaded is the age reported for a replica that was never loaded. It exceeds all
+	// limits.
+	neverLoaded = time.Hour
+	// Never stands for the time of an event that has not happened. Times count from the start
+	// of the process, so that 0 would be taken for an event at the start.
+	Never = -neverLoaded
+)
 
 // Replica is a replica of the store. It is not safe for concurrent use.
 type Replica struct {
@@ -38,8 +43,10 @@
 	// exact is set if the replica holds every key that existed at its position, also
 	// those that were removed later. After a listing it may not, as the later pages lack
 	// keys that were removed in the meantime.
-	exact  bool
-	proven time.Duration // when the replica was last known to be current
+	exact bool
+	// proven is when the replica was last known to be current. It is negative if that was before
+	// the start of this process, as for the first copy from a peer.
+	proven time.Duration
 	loaded bool
 }
 
@@ -176,6 +183,7 @@
 	case !r.loaded:
 		r.position.Era = position.Era
 		r.logFrom = position.Number
+		r.proven = proven
 	case position.Number > before && r.exact:
 		r.addGap(gap{before, position.Number})
 	case position.Number > before:
