edge: a starting balancer is no reader before its first read has succeeded

The first balancer in rank told its peers for up to a second after its start that it reads the store, whatever the store answered: the time of its last successful read was 0, which counts from the start of the process. Peers wait for MaxFollowAge, 2.45 s, in place of 1.3 s while they hear a reader. The same zero stood for the last part of a response, and for when the list of targets was complete before a restore of which only a peer knows.

--- a/internal/edge/arrivals.go
+++ b/internal/edge/arrivals.go
@@ -10,7 +10,7 @@
 // arrivals records when parts of the store's responses to reads arrive. It is safe for concurrent
 // use.
 type arrivals struct {
-	last     atomic.Int64 // when the last part arrived, as time.Duration
+	last     atomic.Int64 // when the last part arrived, as time.Duration; 0 if none has
 	announce atomic.Bool  // the next part is to be announced to peers
 }
 
@@ -24,7 +24,7 @@
 // succeeded.
 func (a *arrivals) underWay(now, readDone time.Duration) bool {
 	last := time.Duration(a.last.Load())
-	return last > readDone && now-last < replica.FetchPatience
+	return last > 0 && last > readDone && now-last < replica.FetchPatience
 }
 
 // noteArrival records that a part of a response to a read of the store has arrived. It may be
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -111,6 +111,7 @@
 		checkNow:  make(chan struct{}, 1),
 		heldNow:   make(chan struct{}, 1),
 		replica:   replica.New(platform.Significant),
+		readDone:  replica.Never,
 		fleet:     peer.NewFleet(e.member()),
 		peers:     map[string]*peerState{},
 		copySlots: make(chan struct{}, maxCopies(e.member())),
--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -98,7 +98,7 @@
 		return
 	}
 	left := min(h.Settling, c.settleTime())
-	c.settling.Begin(now, left, 0)
+	c.settling.Begin(now, left, replica.Never)
 	c.log.Info("store is still settling according to a peer", zap.String("peer", h.From), zap.Int64("era", h.Era), zap.Duration("settles", left))
 }
 
