direct: the model allows no reset of a leaving target's flow, also after a retransmission

It excused resets of a target that refuses connections once a caller had retransmitted. It also applies the resets that a removal causes now. 20,000 random runs hold.

--- a/internal/direct/model_test.go
+++ b/internal/direct/model_test.go
@@ -46,8 +46,8 @@
 	down  bool // crashed and not restarted yet
 	start int  // number of the current start; each flow belongs to one
 	// closed means that it accepts no more connections, as it is about to end, but still
-	// answers on its open flows. callerWaits means that a caller has retransmitted since.
-	closed, callerWaits bool
+	// answers on its open flows.
+	closed bool
 }
 
 type modelFlow struct {
@@ -101,7 +101,7 @@
 	f := m.balancers[i]
 	for _, t := range m.targets {
 		if t.ended {
-			f.RemoveTarget(m.now, t.ID)
+			m.applyResets(f.RemoveTarget(m.now, t.ID), ResetGone)
 			continue
 		}
 		if m.resetsAllOnRestart {
@@ -158,7 +158,6 @@
 	if progress && !fl.lost() {
 		fl.ack += 500
 	}
-	fl.target.callerWaits = fl.target.callerWaits || fl.target.closed && !progress && length > 0
 	s.Ack = fl.ack
 	d := m.balancers[i].Handle(m.now, s)
 	switch d.Verb {
--- a/internal/direct/modelchecks_test.go
+++ b/internal/direct/modelchecks_test.go
@@ -2,7 +2,7 @@
 
 // checkReset fails the run if a reset flow could have continued.
 func (m *model) checkReset(fl *modelFlow, why Reason) {
-	if !fl.lost() && !fl.target.callerWaits && !fl.dropped {
+	if !fl.lost() && !fl.dropped {
 		m.fail("%v: a flow of a living target was reset", why)
 	}
 }
