direct: a check that is accepted and not answered does not reset the flows of a registered target

Callers of a target whose slots are all at work for longer than a check waits (ten times the usual answer, 2 s at most) were reset, and those of idle flows there, once one of them had retransmitted. The check takes a slot, and so waits behind the work; the caller's retransmission only shows that its answer takes more than 0.2 s. The same cause as at leaving targets: silence of a target that works.

A hung check now keeps new flows away until the next one has ended. It resets flows only when the target's registration has expired as well, which three missed heartbeats cause. A frozen target is found so 3.6 s later at a heartbeat of 1.2 s, in place of after CheckTimeout: its callers mostly reach their deadline first. Targets without power are found as before, as nobody connects to them.

TestFullTargetsAreNotTakenForDead took living targets that are found dead with a fixed timeout of 0.2 s as the sign that its load is heavy enough.

--- a/internal/direct/check.go
+++ b/internal/direct/check.go
@@ -14,7 +14,8 @@
 	// Restarted means that another start of the target answered.
 	Restarted
 	// Hung means that the connection was accepted, but no answer came for longer than a full
-	// queue takes.
+	// queue usually takes. It may work on its requests for longer, so that only its new flows are
+	// kept away as long as it is registered.
 	Hung
 	// AddressReused means that another target answered. An address is given to another target
 	// only after the end of the one that had it.
@@ -68,11 +69,15 @@
 	}
 	result := CheckResult{Notify: t.finding == Alive && !t.peerSuspected}
 	t.finding = x
+	t.suspect(now)
+	if x == Hung && !f.registrationEnded(now, t) {
+		t.avoidUntil += now - t.checkedAt // the next check may take as long
+		return result
+	}
 	t.failedChecks++
 	if x == Hung {
 		t.failedChecks = max(t.failedChecks, confirmChecks) // a hung check takes as long as two others
 	}
-	t.suspect(now)
 	switch {
 	case x == Restarted:
 		// The next registration decides which flows are lost.
@@ -96,7 +101,13 @@
 // requests it has accepted, however long these take. Neither refused checks nor silence tell
 // that from its end; the removal of its registration does.
 func (f *Forwarder) hasEnded(now time.Duration, t *target) bool {
-	return !t.Draining || t.departed && !f.lapses.possible(now, f.listCompleteAt)
+	return !t.Draining || f.registrationEnded(now, t)
+}
+
+// registrationEnded reports whether the registration was removed for another reason than an
+// outage of the store: the target has left, or has written no heartbeats.
+func (f *Forwarder) registrationEnded(now time.Duration, t *target) bool {
+	return t.left || t.departed && !f.lapses.possible(now, f.listCompleteAt)
 }
 
 // refuses reports whether the target refuses connections, which does not show that it has ended.
--- a/internal/direct/dead.go
+++ b/internal/direct/dead.go
@@ -61,7 +61,7 @@
 	}
 	t.peerCallersWait = true
 	switch {
-	case t.failedChecks >= confirmChecks && t.finding.unanswered() && (f.othersAlive(now, t) || f.ownLinkWorks(now, t)):
+	case t.failedChecks >= confirmChecks && t.finding == Silent && (f.othersAlive(now, t) || f.ownLinkWorks(now, t)):
 		t.deadCheckAt = t.checkedAt
 		return f.markDead(now, t)
 	case t.flows > 0 && !t.checkRunning && (t.failedChecks > 0 || now-t.checkedAt > checkPause):
--- a/internal/direct/full_test.go
+++ b/internal/direct/full_test.go
@@ -72,24 +72,26 @@
 	return sum / 5
 }
 
-// A burst fills the queues of most targets, so that checks wait for longer than 0.2 s. With
-// that as a fixed timeout, living targets would be marked dead and their open flows reset.
-// With the adaptive timeout, no living target may be marked dead, and the unreachable targets
-// must still be found.
+// A burst fills the queues of most targets, so that checks wait for longer than 0.2 s. Neither with
+// that as a fixed timeout nor with the adaptive one may a living target be marked dead, which
+// resets its open flows, and the unreachable targets must still be found.
 func TestFullTargetsAreNotTakenForDead(t *testing.T) {
-	deadWithFixed := 0 // living targets marked dead with the fixed timeout
+	hungWithFixed := 0 // checks of living targets that exceeded the fixed timeout
 	for seed := range uint64(3) {
 		fixed, adaptive := runFullBurst(seed, 200*time.Millisecond), runFullBurst(seed, 0)
-		deadWithFixed += len(fixed.falselyDead)
+		hungWithFixed += fixed.hung
 		t.Logf("timeout 0.2 s: %d living targets found dead, %v; adaptive: %d, %v", len(fixed.falselyDead), fixed.replay, len(adaptive.falselyDead), adaptive.replay)
-		if n := len(adaptive.falselyDead); n > 0 {
-			t.Errorf("seed %d: %d living targets were found dead", seed, n)
+		for _, d := range []*burstRun{fixed, adaptive} {
+			if n := len(d.falselyDead); n > 0 {
+				t.Errorf("seed %d, check timeout %v (0: adaptive): %d living targets were found dead", seed, d.checkTimeout, n)
+			}
 		}
 		t.Logf("unreachable targets found after %v on average, with the timeout of 0.2 s after %v", adaptive.meanDetection(t), fixed.meanDetection(t))
 	}
-	if deadWithFixed == 0 {
-		t.Error("the load is too low for this test: no living target is found dead with the fixed timeout")
+	if hungWithFixed < 100 {
+		t.Errorf("the load is too low for this test: %d checks of living targets exceed the fixed timeout", hungWithFixed)
 	}
+	t.Logf("%d checks of living targets exceed 0.2 s", hungWithFixed)
 }
 
 // Guards against resetting a flow of a leaving target that has closed its listening socket and
--- a/internal/direct/replay_test.go
+++ b/internal/direct/replay_test.go
@@ -42,6 +42,7 @@
 	far      int // openings to another data centre
 	opened   int // openings, without retransmissions
 	checks   int // checks started at targets
+	hung     int // checks of living targets that were not answered in time
 	ticks    int
 	// rejectedBesideRoom counts openings of market callers that a balancer reset while a target
 	// had had a free slot for longer than simRoom.
--- a/internal/direct/replaycheck_test.go
+++ b/internal/direct/replaycheck_test.go
@@ -33,6 +33,9 @@
 		return func() {
 			if !finished {
 				finished = true
+				if x == Hung {
+					r.hung++
+				}
 				r.finishCheck(b, s, x)
 			}
 		}
