direct: a registration that lapsed with the store is no end, after short outages and starts too

After an outage of the store, flows of living targets were reset for a missing registration in two cases: the outage was shorter than 3 s, and the target drained; or the balancer had just started, and did not know the target. Registrations last for three heartbeats, so that an outage of one interval, 1.2 s, which hits two of them, lets them lapse, and targets are back within 2 s.

The gap after which removals may be lapses is the interval of heartbeats in the settings now, in place of 3 s. The first complete list of a process counts as one after an outage, and unknown cookies are not reset within the window either. The cost: a caller whose target left while this balancer was down waits for up to 2 s after the balancer's start, in place of 0.3 s, and one of a leaving target whose end becomes known up to 2 s after the reader was lost waits for that window.

--- a/internal/direct/check.go
+++ b/internal/direct/check.go
@@ -107,7 +107,7 @@
 // registrationEnded reports whether the registration was removed for another reason than an
 // outage of the store: the target has left, or has written no heartbeats.
 func (f *Forwarder) registrationEnded(now time.Duration, t *target) bool {
-	return t.left || t.departed && !f.lapses.possible(now, f.listCompleteAt)
+	return t.left || t.departed && !f.lapses.possible(now)
 }
 
 // refuses reports whether the target refuses connections, which does not show that it has ended.
--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -6,6 +6,7 @@
 package direct
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -17,6 +18,7 @@
 type Config struct {
 	DataCenter string
 	FlowMaxAge time.Duration // idle time after which a flow may be forgotten
+	Heartbeat  time.Duration // interval of the targets' heartbeats; 0 for defaultHeartbeat
 	MaxFlows   int           // maximum size of the flow table
 	Seed       uint64
 	// Times receives measured times; nil discards them.
@@ -96,6 +98,7 @@
 		invalidRegistrations: map[Cookie]TargetID{},
 		routelessFlows:       map[FlowKey]time.Duration{},
 		suspects:             map[*target]bool{},
+		lapses:               lapses{gap: cmp.Or(c.Heartbeat, defaultHeartbeat)},
 		openingTime:          initialOpeningTime,
 		flowSpread:           1,
 		outcomes:             newOutcomeTracker(),
--- a/internal/direct/harness_test.go
+++ b/internal/direct/harness_test.go
@@ -70,6 +70,16 @@
 	return id
 }
 
+// readFor lets time pass while the store is read, so that the list of targets stays complete.
+func (b *fixture) readFor(d time.Duration) {
+	const interval = 400 * time.Millisecond
+	for end := b.now + d; b.now < end; {
+		b.f.SetListCompleteAt(b.now)
+		b.now += min(interval, end-b.now)
+	}
+	b.f.SetListCompleteAt(b.now)
+}
+
 // openFlowTo opens a flow at one target.
 func (b *fixture) openFlowTo(port uint16, to netip.AddrPort, id TargetID) {
 	b.t.Helper()
--- a/internal/direct/unknown.go
+++ b/internal/direct/unknown.go
@@ -9,7 +9,8 @@
 // end the flow of a living target. A target is registered before its first flow, so if a
 // complete list that is newer than the packet lacks it, the target has left, and a reset lets
 // the caller try elsewhere at once. Until then the packet is dropped and the caller
-// retransmits it.
+// retransmits it. After an outage of the store, registrations of living targets may be missing
+// for lapseWindow.
 func (f *Forwarder) handleUnknown(now time.Duration, s *Segment) Decision {
 	if s.Flags.Has(RST) {
 		return Decision{Verb: Drop, Reason: DroppedReset}
@@ -22,7 +23,7 @@
 		f.unknownCookies[s.Cookie] = now
 		first = now
 	}
-	if ok && f.listCompleteAt > first+listMargin {
+	if ok && f.listCompleteAt > first+listMargin && !f.lapses.possible(now) {
 		return resetOf(s, ResetUnknown)
 	}
 	return Decision{Verb: Drop, Reason: DroppedWait}
@@ -42,7 +43,7 @@
 // SetListCompleteAt sets when the replica, with the list of targets and the catalogue, was
 // last known to be complete.
 func (f *Forwarder) SetListCompleteAt(at time.Duration) {
-	f.lapses.listKnown(f.listCompleteAt, at)
+	f.lapses.listKnown(at)
 	f.listCompleteAt = at
 }
 
--- a/internal/direct/update_test.go
+++ b/internal/direct/update_test.go
@@ -8,13 +8,16 @@
 
 // A caller returns the cookie of a target that left while this balancer was down. A reset
 // keeps the caller from retransmitting until its deadline. But the cookie may also be that of
-// a new target whose registration has not arrived yet, so the reset waits for a complete list.
+// a new target whose registration has not arrived yet, so the reset waits for a complete list, and
+// after an outage of the store for as long as registrations may be missing.
 func TestUnknownCookieIsResetAfterAWhile(t *testing.T) {
 	b := newFixture(t, target1(1, "a"))
 	b.want(b.handle(packet(1, streams, ACK, 77)), DroppedWait)
 	b.now += 5 * time.Second // the store is unreachable, and the list gets older
 	b.want(b.handle(packet(1, streams, ACK, 77)), DroppedWait)
 	b.f.SetListCompleteAt(b.now)
+	b.want(b.handle(packet(1, streams, ACK, 77)), DroppedWait)
+	b.readFor(lapseWindow)
 	b.want(b.handle(packet(1, streams, ACK, 77)), ResetUnknown)
 	b.f.PutTarget(b.now, target1(77, "a"))
 	b.want(b.handle(packet(1, streams, ACK, 77)), Forwarded)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -88,6 +88,7 @@
 	e.forward = direct.New(direct.Config{
 		DataCenter: boot.DataCenter,
 		FlowMaxAge: boot.FlowMaxAge,
+		Heartbeat:  boot.Heartbeat,
 		MaxFlows:   max(boot.MemoryMB<<20/flowShare/flowBytes, 1000),
 		Seed:       uint64(e.start.UnixNano()),
 		Times:      e.times,
