direct: a refused check is no end while the target may leave unheard

A balancer whose list of targets is older than the drain time, as it reaches neither the store nor a peer that knows more, took a refused check for a crash and reset all flows of the target, also those whose requests must not run twice. The target may have announced its end since, drained, closed its socket, and be at work on its last requests.

A target serves for the drain time (drainMs in the settings) after its announcement, so that a younger list would have it: then a refused check still ends the matter at once. With an older list the flows are kept and the check is repeated once a second; new flows go elsewhere. The next complete list decides: the target is ready, and has crashed, or it leaves, and its removal will say so. The cost: a caller of a target that crashes while the store has been away for longer than the drain time waits until it is back.

TestTargetThatLeavesUnheard fails on the code before in two of its three cases, which it reset without news; the third, a crash with a fresh list, stays as it was.

--- a/internal/direct/check.go
+++ b/internal/direct/check.go
@@ -65,6 +65,7 @@
 	if x == Gone && !f.hasEnded(now, t) {
 		t.clearSuspicion() // its machine responds
 		t.finding = Gone
+		t.suspect(now)
 		return CheckResult{}
 	}
 	result := CheckResult{Notify: t.finding == Alive && !t.peerSuspected}
@@ -101,7 +102,22 @@
 // requests it has accepted, however long these take. Neither refused checks nor silence tell
 // that from its end; the removal of its registration does.
 func (f *Forwarder) hasEnded(now time.Duration, t *target) bool {
-	return !t.Draining || f.registrationEnded(now, t)
+	return !f.mayBeLeaving(now, t) || f.registrationEnded(now, t)
+}
+
+// mayBeLeaving reports whether the target leaves, or may have announced that and closed its
+// listening socket since the list of targets was last complete. It serves for the drain time after its
+// announcement, so that a list that is younger would have it.
+func (f *Forwarder) mayBeLeaving(now time.Duration, t *target) bool {
+	return t.Draining || f.drainTime > 0 && f.lapses.known && now-f.readyAt(t) >= f.drainTime
+}
+
+// readyAt returns when a target that has not announced its end was last known to be registered.
+func (f *Forwarder) readyAt(t *target) time.Duration {
+	if t.departed {
+		return t.listedAt
+	}
+	return f.listCompleteAt
 }
 
 // registrationEnded reports whether the registration was removed for another reason than an
--- a/internal/direct/endingtarget_test.go
+++ b/internal/direct/endingtarget_test.go
@@ -127,3 +127,45 @@
 	}
 	b.want(b.sendRequest(2, notes, ending, 101, 1000), Forwarded)
 }
+
+// Guards against resetting flows of a target that leaves by a balancer that has not heard of it, as the
+// store turns it away: its list is older than the drain time when the target refuses connections.
+func TestTargetThatLeavesUnheard(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		away time.Duration // since the list was last complete
+		news func(*fixture) []Segment
+		want int // flows that are reset, with the news
+	}{
+		{"crashed", time.Second, func(*fixture) []Segment { return nil }, 0},
+		{"left", 4 * time.Second, func(b *fixture) []Segment {
+			leaves := target1(1, "a")
+			leaves.Draining = true
+			b.f.PutTarget(b.now, leaves)
+			b.readFor(lapseWindow)
+			return b.leave(1)
+		}, 1},
+		{"crashed while the store was away", 4 * time.Second, func(b *fixture) []Segment {
+			b.readFor(checkPause)
+			return b.refuse(1)
+		}, 1},
+	} {
+		b := newFixture(t, target1(1, "a"))
+		b.f.drainTime = 3 * time.Second
+		b.openFlow(1, streams)
+		b.readFor(lapseWindow)
+		b.now += c.away
+		b.sendRequest(1, streams, 1, 101, 1000)
+		b.now += 200 * time.Millisecond
+		b.sendRequest(1, streams, 1, 101, 1000)
+		if resets := b.refuse(1); len(resets) != 1-c.want {
+			t.Errorf("%s: %d flows are reset without news", c.name, len(resets))
+		}
+		if b.state(1).eligible(b.now) {
+			t.Errorf("%s: new flows go there", c.name)
+		}
+		if resets := c.news(b); len(resets) != c.want {
+			t.Errorf("%s: %d flows are reset with the news, want %d", c.name, len(resets), c.want)
+		}
+	}
+}
--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -19,6 +19,7 @@
 	DataCenter string
 	FlowMaxAge time.Duration // idle time after which a flow may be forgotten
 	Heartbeat  time.Duration // interval of the targets' heartbeats; 0 for defaultHeartbeat
+	Drain      time.Duration // how long a target serves at least after it announced that it leaves; 0 if unknown
 	MaxFlows   int           // maximum size of the flow table
 	Seed       uint64
 	// Times receives measured times; nil discards them.
@@ -47,6 +48,7 @@
 	suspects       map[*target]bool // targets that TargetsToCheck considers
 	listCompleteAt time.Duration    // see SetListCompleteAt
 	lapses         lapses
+	drainTime      time.Duration            // see Config.Drain
 	unknownCookies map[Cookie]time.Duration // first seen, for cookies without a target
 	// invalidRegistrations are targets whose registration was invalid when it arrived, and which
 	// this balancer does not have in targets, by cookie.
@@ -98,6 +100,7 @@
 		invalidRegistrations: map[Cookie]TargetID{},
 		routelessFlows:       map[FlowKey]time.Duration{},
 		suspects:             map[*target]bool{},
+		drainTime:            c.Drain,
 		lapses:               lapses{gap: cmp.Or(c.Heartbeat, defaultHeartbeat)},
 		openingTime:          initialOpeningTime,
 		flowSpread:           1,
--- a/internal/direct/targetstate.go
+++ b/internal/direct/targetstate.go
@@ -19,6 +19,7 @@
 	departed      bool              // its registration was removed
 	left          bool              // its registration was removed after it announced that it leaves
 	endedAt       time.Duration     // when it was marked dead or its registration was removed
+	listedAt      time.Duration     // when the last complete list that had it was read, if departed
 	cookieTaken   bool              // another target has the same cookie; see claimCookie
 	startRevision revision.Revision // at which its start was learnt, if an earlier one was known
 	invalid       bool              // its registration has become invalid; see DisableTarget
--- a/internal/direct/update.go
+++ b/internal/direct/update.go
@@ -132,6 +132,7 @@
 	}
 	x.departed = true
 	x.endedAt = now
+	x.listedAt = f.listCompleteAt
 	x.left = x.Draining && !f.lapses.possible(now)
 	x.group.massExpiry.stale = true
 	x.expireShares()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -89,6 +89,7 @@
 		DataCenter: boot.DataCenter,
 		FlowMaxAge: boot.FlowMaxAge,
 		Heartbeat:  boot.Heartbeat,
+		Drain:      boot.Drain,
 		MaxFlows:   max(boot.MemoryMB<<20/flowShare/flowBytes, 1000),
 		Seed:       uint64(e.start.UnixNano()),
 		Times:      e.times,
