direct: a target that is only learnt of has shown no life, and may have drained for long

Two times in the forwarder were those of the balancer's start. A target that it had just learnt of counted as alive for 0.5 s: if the balancer's own link was congested, as while it loads a large catalogue, all others looked well beside one whose checks failed, and its flows were reset. And a target that drained already when it was learnt of could get new flows for 1.2 s more, however long it had drained, where all others of its service drained too.

A target shows life by a packet now, and one that is learnt of as draining gets no new flows.

--- a/internal/direct/forwarder.go
+++ b/internal/direct/forwarder.go
@@ -42,6 +42,7 @@
 	centres        map[string]*centre
 	flows          map[FlowKey]*flow
 	lastAlive      time.Duration // last sign of life of any target
+	showedLife     bool          // there was one
 	counts         [reasonCount]uint64
 	nextSweep      time.Duration
 	measuredAt     time.Duration    // last run of measureWork
--- a/internal/direct/observe.go
+++ b/internal/direct/observe.go
@@ -163,8 +163,8 @@
 }
 
 func (f *Forwarder) markAlive(now time.Duration, t *target) {
-	f.lastAlive = now
-	t.lastAlive = now
+	f.lastAlive, f.showedLife = now, true
+	t.lastAlive, t.showedLife = now, true
 	t.clearSuspicion()
 	t.recordLife(now)
 }
--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -52,7 +52,7 @@
 		return
 	}
 	t.stalls++
-	if t.stalls >= suspectStalls && now-f.lastAlive < aliveWindow {
+	if t.stalls >= suspectStalls && f.showedLife && now-f.lastAlive < aliveWindow {
 		t.suspect(now)
 	}
 	f.addSuspect(t)
@@ -138,7 +138,7 @@
 		case o == t || o.departed || o.dead || o.DataCenter != f.dataCenter:
 		case o.stalls > 0 || o.failedChecks > 0:
 			suspected++
-		case now-o.lastAlive < aliveWindow:
+		case o.showedLife && now-o.lastAlive < aliveWindow:
 			live++
 		}
 	}
--- a/internal/direct/targetstate.go
+++ b/internal/direct/targetstate.go
@@ -10,12 +10,14 @@
 // target is a Target together with this balancer's view of it.
 type target struct {
 	Target
-	centre        *centre // where it is; follows DataCenter
-	group         *group  // of its service in that data centre
-	coldUntil     time.Duration
-	coldLimit     slowstart.Limit   // on openings while it is cold
-	limitVersion  int               // Forwarder.fleetVersion of coldLimit
-	drainingSince time.Duration     // when its draining state was learnt
+	centre       *centre // where it is; follows DataCenter
+	group        *group  // of its service in that data centre
+	coldUntil    time.Duration
+	coldLimit    slowstart.Limit // on openings while it is cold
+	limitVersion int             // Forwarder.fleetVersion of coldLimit
+	// drainingSince is when its draining state was learnt, or never if it was draining when the
+	// target was learnt of, possibly for long.
+	drainingSince time.Duration
 	departed      bool              // its registration was removed
 	left          bool              // its registration was removed after it announced that it leaves
 	endedAt       time.Duration     // when it was marked dead or its registration was removed
@@ -35,6 +37,7 @@
 	failing     bool    // state in the latest OutlierChange
 
 	lastAlive       time.Duration // latest sign of life in packets, at first when it was added
+	showedLife      bool          // there was one
 	stalls          int           // retransmissions and unanswered openings since lastAlive or an answered check
 	overdue         bool          // a request has exceeded its timeout
 	avoidUntil      time.Duration // end of the suspicion, which keeps new flows away
--- a/internal/direct/update.go
+++ b/internal/direct/update.go
@@ -14,6 +14,9 @@
 // for 35,000 flows and 0.1 ms for 3,000 targets.
 const sweepInterval = time.Second
 
+// never stands for the time of an event before all others.
+const never = -time.Hour
+
 // SetCatalogue replaces the catalogue in use by another version.
 func (f *Forwarder) SetCatalogue(c *Catalogue) {
 	f.catalogue = c
@@ -84,7 +87,7 @@
 
 // addTarget adds a target, or a new start of one, with an empty state.
 func (f *Forwarder) addTarget(now time.Duration, t Target) *target {
-	x := &target{Target: t, lastAlive: now, checkedAt: -checkPause, drainingSince: now}
+	x := &target{Target: t, lastAlive: now, checkedAt: -checkPause, drainingSince: never}
 	f.targets[t.ID] = x
 	f.joinGroup(x)
 	return x
