direct: a target that accepts connections or refuses them is not dead, whatever was silent before

A target that had been unreachable, and whose machine responds again, stayed marked dead while a check was accepted and not answered, so that packets of its flows were reset; and peers were told of such a check, which they count as a failed one of their own. One lost SYN of theirs would then reset flows of a busy target.

Refused and accepted checks of targets that may still work are handled in one place: the suspicion is cleared, new flows are kept away until the next check has ended, and nobody is told. TestUnreachableTargetThatAcceptsLater and TestBusyTargetKeepsItsFlows ("peers are told") fail on the code before.

--- a/internal/direct/check.go
+++ b/internal/direct/check.go
@@ -62,19 +62,16 @@
 		return CheckResult{}
 	}
 	f.addSuspect(t)
-	if x == Gone && !f.hasEnded(now, t) {
+	if f.mayStillWork(now, t, x) {
 		t.clearSuspicion() // its machine responds
-		t.finding = Gone
+		t.finding = x
 		t.suspect(now)
+		t.avoidUntil += now - t.checkedAt // the next check may take as long
 		return CheckResult{}
 	}
 	result := CheckResult{Notify: t.finding == Alive && !t.peerSuspected}
 	t.finding = x
 	t.suspect(now)
-	if x == Hung && !f.registrationEnded(now, t) {
-		t.avoidUntil += now - t.checkedAt // the next check may take as long
-		return result
-	}
 	t.failedChecks++
 	if x == Hung {
 		t.failedChecks = max(t.failedChecks, confirmChecks) // a hung check takes as long as two others
@@ -96,6 +93,18 @@
 	return result
 }
 
+// mayStillWork reports whether a target may be at work on its requests although its machine has refused
+// the check or left it unanswered.
+func (f *Forwarder) mayStillWork(now time.Duration, t *target, x Finding) bool {
+	switch x {
+	case Gone:
+		return !f.hasEnded(now, t)
+	case Hung:
+		return !f.registrationEnded(now, t)
+	}
+	return false
+}
+
 // hasEnded reports whether a target that refuses connections has ended along with its flows.
 //
 // A target that announced its end closes its listening socket first and then works off the
@@ -133,6 +142,11 @@
 // checked again until its end is known.
 func (t *target) refusesFlows() bool { return t.refuses() && t.flows > 0 }
 
+// failedCheck reports whether the latest check counts against the target; see mayStillWork.
+func (t *target) failedCheck() bool {
+	return t.finding != Alive && (t.dead || t.finding != Gone && t.finding != Hung)
+}
+
 // gone reports whether the latest check has shown that no process of the target is left.
 func (t *target) gone() bool { return t.finding == Gone || t.finding == AddressReused }
 
--- a/internal/direct/hung_test.go
+++ b/internal/direct/hung_test.go
@@ -24,6 +24,9 @@
 		b.showAllAlive(busy)
 		result := b.f.Checked(b.now, Start{ID: busy}, Hung)
 		resets := append(result.Resets, b.f.PeerFoundDead(b.now, busy)...)
+		if result.Notify || len(b.f.Suspected()) != 0 {
+			t.Error("peers are told of the check, which they would count as their own")
+		}
 		if len(resets) != 0 || b.state(busy).dead {
 			t.Fatalf("%d flows are reset while the target works", len(resets))
 		}
@@ -56,3 +59,23 @@
 		t.Error("no flow is reset")
 	}
 }
+
+// Guards against a target that stays dead although it accepts connections again.
+func TestUnreachableTargetThatAcceptsLater(t *testing.T) {
+	b := newFixture(t, manyTargets(5)...)
+	b.showAllAlive(0)
+	busy := b.openFlow(1, streams)
+	b.now += time.Second
+	for _, x := range []Finding{Silent, Silent, Hung} {
+		b.now += checkPause
+		b.showAllAlive(busy)
+		b.sendRequest(1, streams, busy, 101, 1000)
+		b.f.TargetsToCheck(b.now)
+		b.now += time.Millisecond
+		b.f.Checked(b.now, Start{ID: busy}, x)
+		if want := x == Silent && b.state(busy).failedChecks == confirmChecks; b.state(busy).dead != want {
+			t.Errorf("after a check that was %v: dead %v", x, b.state(busy).dead)
+		}
+	}
+	b.want(b.sendRequest(1, streams, busy, 101, 1000), Forwarded)
+}
--- a/internal/direct/suspect.go
+++ b/internal/direct/suspect.go
@@ -167,12 +167,12 @@
 	return isNew
 }
 
-// Suspected returns the targets that failed this balancer's latest check of them. A target that
-// leaves and refuses connections is not reported, as peers would count that as a failed check.
+// Suspected returns the targets that failed this balancer's latest check of them. Peers count that as
+// a failed check of their own, so that targets which may still work are not reported.
 func (f *Forwarder) Suspected() []TargetID {
 	var out []TargetID
 	for t := range f.suspects {
-		if t.finding != Alive && !t.departed && !(t.Draining && t.refuses()) {
+		if t.failedCheck() && !t.departed {
 			out = append(out, t.ID)
 		}
 	}
