--- a/internal/direct/hung_test.go
+++ b/internal/direct/hung_test.go
@@ -66,16 +66,24 @@
 	b.showAllAlive(0)
 	busy := b.openFlow(1, streams)
 	b.now += time.Second
-	for _, x := range []Finding{Silent, Silent, Hung} {
+	b.sendRequest(1, streams, busy, 101, 1000)
+	check := func(x Finding) {
 		b.now += checkPause
 		b.showAllAlive(busy)
 		b.sendRequest(1, streams, busy, 101, 1000)
 		b.f.TargetsToCheck(b.now)
 		b.now += time.Millisecond
 		b.f.Checked(b.now, Start{ID: busy}, x)
-		if want := x == Silent && b.state(busy).failedChecks == confirmChecks; b.state(busy).dead != want {
-			t.Errorf("after a check that was %v: dead %v", x, b.state(busy).dead)
-		}
+	}
+	for range confirmChecks {
+		check(Silent)
+	}
+	if !b.state(busy).dead {
+		t.Fatal("the target is not found dead")
+	}
+	check(Hung)
+	if b.state(busy).dead {
+		t.Error("the target is still dead")
 	}
 	b.want(b.sendRequest(1, streams, busy, 101, 1000), Forwarded)
 }
