direct: a target that was found to have crashed stays dead while the store is away

A check that is refused while the list of targets is older than the drain time cleared what an earlier check had found with a current list: packets of flows of a crashed target were forwarded again, and their callers waited. What was found once holds for that start of the target. TestCrashedTargetStaysDeadWhileTheStoreIsAway fails on the code before ("the target is not dead any more"). Two tests share how a target is found dead.

--- a/internal/direct/check.go
+++ b/internal/direct/check.go
@@ -98,7 +98,8 @@
 func (f *Forwarder) mayStillWork(now time.Duration, t *target, x Finding) bool {
 	switch x {
 	case Gone:
-		return !f.hasEnded(now, t)
+		foundBefore := t.dead && t.gone()
+		return !foundBefore && !f.hasEnded(now, t)
 	case Hung:
 		return !f.registrationEnded(now, t)
 	}
--- a/internal/direct/endingtarget_test.go
+++ b/internal/direct/endingtarget_test.go
@@ -109,17 +109,7 @@
 	b, ending := flowOfEndingTarget(t, 3)
 	b.now += time.Second
 	b.sendRequest(2, notes, ending, 101, 1000)
-	for range confirmChecks {
-		b.now += checkPause
-		b.showAllAlive(ending)
-		b.sendRequest(2, notes, ending, 101, 1000)
-		b.f.TargetsToCheck(b.now)
-		b.now += time.Millisecond
-		b.f.Checked(b.now, Start{ID: ending}, Silent)
-	}
-	if !b.state(ending).dead {
-		t.Fatal("the target is not found dead")
-	}
+	b.findDead(2, notes, ending)
 	b.now += checkPause
 	b.sendRequest(2, notes, ending, 101, 1000)
 	if resets := b.refuse(ending); len(resets) != 0 {
@@ -169,3 +159,23 @@
 		}
 	}
 }
+
+// Guards against a target that has crashed and counts as one that may leave once the store is away: what
+// was found with a current list holds for that start.
+func TestCrashedTargetStaysDeadWhileTheStoreIsAway(t *testing.T) {
+	b := newFixture(t, target1(1, "a"), target1(2, "a"))
+	b.f.drainTime = 3 * time.Second
+	b.openFlowTo(1, streams, 1)
+	b.readFor(lapseWindow)
+	b.sendRequest(1, streams, 1, 101, 1000)
+	b.now += 200 * time.Millisecond
+	b.sendRequest(1, streams, 1, 101, 1000)
+	if resets := b.refuse(1); len(resets) != 1 {
+		t.Fatalf("%d flows are reset when the target is found to have crashed, want 1", len(resets))
+	}
+	b.now += 2 * b.f.drainTime
+	b.refuse(1)
+	if !b.state(1).dead {
+		t.Error("the target is not dead any more")
+	}
+}
--- a/internal/direct/hung_test.go
+++ b/internal/direct/hung_test.go
@@ -1,10 +1,33 @@
 package direct
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 )
 
+// checkWhileWaiting lets a caller retransmit its request to a target, which is checked then. All other
+// targets show life.
+func (b *fixture) checkWhileWaiting(port uint16, to netip.AddrPort, id TargetID, x Finding) {
+	b.now += checkPause
+	b.showAllAlive(id)
+	b.sendRequest(port, to, id, 101, 1000)
+	b.f.TargetsToCheck(b.now)
+	b.now += time.Millisecond
+	b.f.Checked(b.now, Start{ID: id}, x)
+}
+
+// findDead makes a target unreachable until it is found dead.
+func (b *fixture) findDead(port uint16, to netip.AddrPort, id TargetID) {
+	b.t.Helper()
+	for range confirmChecks {
+		b.checkWhileWaiting(port, to, id, Silent)
+	}
+	if !b.state(id).dead {
+		b.t.Fatal("the target is not found dead")
+	}
+}
+
 // Guards against resetting flows of a target whose slots are all busy with long work: checks wait
 // longer than a full queue usually takes, and callers retransmit in vain.
 func TestBusyTargetKeepsItsFlows(t *testing.T) {
@@ -67,21 +90,8 @@
 	busy := b.openFlow(1, streams)
 	b.now += time.Second
 	b.sendRequest(1, streams, busy, 101, 1000)
-	check := func(x Finding) {
-		b.now += checkPause
-		b.showAllAlive(busy)
-		b.sendRequest(1, streams, busy, 101, 1000)
-		b.f.TargetsToCheck(b.now)
-		b.now += time.Millisecond
-		b.f.Checked(b.now, Start{ID: busy}, x)
-	}
-	for range confirmChecks {
-		check(Silent)
-	}
-	if !b.state(busy).dead {
-		t.Fatal("the target is not found dead")
-	}
-	check(Hung)
+	b.findDead(1, streams, busy)
+	b.checkWhileWaiting(1, streams, busy, Hung)
 	if b.state(busy).dead {
 		t.Error("the target is still dead")
 	}
--- a/internal/direct/targetstate.go
+++ b/internal/direct/targetstate.go
@@ -7,6 +7,9 @@
 	"rosedale.dev/rosedale/internal/slowstart"
 )
 
+// never stands for the time of an event before all others.
+const never = -time.Hour
+
 // target is a Target together with this balancer's view of it.
 type target struct {
 	Target
--- a/internal/direct/update.go
+++ b/internal/direct/update.go
@@ -14,9 +14,6 @@
 // for 35,000 flows and 0.1 ms for 3,000 targets.
 const sweepInterval = time.Second
 
-// never stands for the time of an event before all others.
-const never = -time.Hour
-
 // SetCatalogue replaces the catalogue in use by another version.
 func (f *Forwarder) SetCatalogue(c *Catalogue) {
 	f.catalogue = c
